--- a/src/bin/shelfdyke-wirehost.rs
+++ b/src/bin/pierloom-adapter.rs
@@ -2,8 +2,8 @@
 //! Hosts instances of the decision module on the bench's line protocol. Instances share nothing
 //! but the immutable lists.
 
-use shelfdyke::wire::{self, Fault, Line, Names};
-use shelfdyke::{Action, Balancer, Event, Member};
+use pierloom::wire::{self, Fault, Line, Names};
+use pierloom::{Action, Balancer, Event, Member};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
@@ -163,7 +163,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("shelfdyke-wirehost: {fault}");
+            eprintln!("pierloom-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
-//! shelfdyke decides for a balancer of long-lived connections: whom to admit, where to place
+//! pierloom decides for a balancer of long-lived connections: whom to admit, where to place
 //! each connection, when to try again and when to give up. It does no I/O and reads no clock.
 //!
 //! ```
-//! use shelfdyke::{Action, Balancer, Event, ListKind, Member, Request, Settings};
+//! use pierloom::{Action, Balancer, Event, ListKind, Member, Request, Settings};
 //!
 //! let mut settings = Settings::default();
 //! settings.classes[0].deadline = 1_200_000;
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use shelfdyke::*;
+use pierloom::*;
 
 const TICK: u64 = 0;
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use shelfdyke::*;
+use pierloom::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const HOLD: u64 = 1;
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use shelfdyke::*;
+use pierloom::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const STATUSES: [Status; 8] = [
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use shelfdyke::*;
+use pierloom::*;
 
 #[test]
 fn every_end_of_the_last_attempt_brings_one_final_answer() {
--- a/tests/testimony.rs
+++ b/tests/testimony.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use shelfdyke::*;
+use pierloom::*;
 use std::collections::BTreeMap;
 
 /// Only draining binds, and nothing is probed.
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire: strict parsing, plain complaints, exact printing, and the host as a process.
 
-use shelfdyke::wire::{self, Line};
-use shelfdyke::*;
+use pierloom::wire::{self, Line};
+use pierloom::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
@@ -15,7 +15,7 @@
 }
 
 fn host(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_shelfdyke-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pierloom-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
