--- a/src/api.rs
+++ b/src/api.rs
@@ -287,6 +287,8 @@
     Load(f64),
     /// Time a message takes at its backend now.
     Delay(Micros),
+    /// A message has been without its answer on this connection for so long.
+    Silent(Micros),
 }
 
 /// The end of an attempt.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,6 +70,8 @@
 const SAVED_WINDOWS: f64 = 8.0;
 /// Time of the list service that one relay's call may take when all relays call; microseconds.
 const CALL: Micros = 20_000;
+/// A connection whose message is unanswered this long is moved: some rounds of messages; microseconds.
+const SILENCE: Micros = 4_000_000;
 /// Timer tokens: the learning tick, a look at the held requests, a renewed subscription.
 const TICK: u64 = 0;
 const HOLD: u64 = 1;
@@ -226,6 +228,9 @@
             }
             Event::Noted(id, Note::Load(load)) => self.rebook(id, load),
             Event::Noted(id, Note::Delay(delay)) => self.on_delay(now, id, delay, out),
+            // Exception "silent": guards against a client left waiting on a backend out of reach.
+            Event::Noted(id, Note::Silent(since)) if since >= SILENCE => out.push(Action::Move(id)),
+            Event::Noted(..) => {}
             Event::Probed { backend, status, report } => {
                 if let Some(&i) = self.index.get(&backend) {
                     self.on_probed(now, i, status, &report, out);
--- /dev/null
+++ b/src/net/claim.rs
@@ -0,0 +1,148 @@
+//! A claim: one try of a job at an execute node.
+
+use super::core::Core;
+use super::platform::{Front, Reply};
+use pierloom::{Micros, Status};
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+
+/// Longest line that any side sends; bytes.
+pub const LONGEST_LINE: usize = 4096;
+
+/// How far a claim came before it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// No connection.
+    NotConnected,
+    /// Connected, and the last byte is not written.
+    Unwritten,
+    /// All is written, and no answer has come.
+    Written,
+    /// Up, then over.
+    Up,
+}
+
+/// Why a claim ended.
+#[derive(Debug)]
+pub enum Cause {
+    /// Nothing came in the time there was.
+    Late,
+    /// The connection ended or broke.
+    Broke,
+    /// The submitter left, or was sent away.
+    Left,
+    /// The execute node said so.
+    Said(Reply),
+}
+
+/// The end of a claim: how far it came, and why it ended.
+#[derive(Debug)]
+pub struct Ending {
+    pub reach: Reach,
+    pub cause: Cause,
+}
+
+impl Ending {
+    /// What the module is told of it. It never ran only if its last byte was not written, or if the execute
+    /// node says so.
+    pub fn status(&self) -> Status {
+        match (self.reach, &self.cause) {
+            (_, Cause::Said(Reply::Busy)) => Status::Full,
+            (_, Cause::Said(Reply::Bye)) => Status::Ok,
+            (_, Cause::Said(Reply::Move)) => Status::Cancelled,
+            (_, Cause::Said(_)) => Status::Error,
+            (_, Cause::Left) => Status::Cancelled,
+            (Reach::NotConnected | Reach::Unwritten, _) => Status::ConnectFailed,
+            (Reach::Written, Cause::Late) => Status::Timeout,
+            (Reach::Written | Reach::Up, _) => Status::Reset,
+        }
+    }
+}
+
+/// A connection that is up: all that the execute node sent so far, its answer first.
+pub struct Link {
+    pub stream: TcpStream,
+    pub received: Vec<u8>,
+}
+
+/// Connects, writes the whole of `opening` and reads the answer; nothing stays open where it fails.
+pub async fn attempt(
+    core: &Core,
+    front: &dyn Front,
+    node: SocketAddr,
+    opening: &[u8],
+    until: Micros,
+) -> Result<Link, Ending> {
+    let connect_until = until.min(core.now() + core.settings().connect_timeout);
+    let broken = |reach, cause| Ending { reach, cause };
+    let stream = tokio::select! {
+        stream = TcpStream::connect(node) => stream.map_err(|_| broken(Reach::NotConnected, Cause::Broke))?,
+        () = core.deadlines.until(connect_until) => return Err(broken(Reach::NotConnected, Cause::Late)),
+    };
+    let mut reach = Reach::Unwritten;
+    let answer = async {
+        stream.set_nodelay(true)?;
+        write_all(&stream, opening).await?;
+        reach = Reach::Written;
+        read_line(&stream, Vec::new()).await
+    };
+    let answer = tokio::select! {
+        answer = answer => answer.map_err(|_: io::Error| Cause::Broke),
+        () = core.deadlines.until(until) => Err(Cause::Late),
+    };
+    let received = answer.map_err(|cause| broken(reach, cause))?;
+    match front.reply(first_line(&received)) {
+        Reply::Up => Ok(Link { stream, received }),
+        said => Err(broken(reach, Cause::Said(said))),
+    }
+}
+
+/// The first line of what was received, without its end.
+pub fn first_line(received: &[u8]) -> &[u8] {
+    let line = received.split(|&byte| byte == b'\n').next().unwrap_or_default();
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
+/// Writes everything; a stream shared for reading needs no mutable borrow.
+pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(bytes) {
+            Ok(written) => bytes = &bytes[written..],
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Reads on until a whole line is there. An end before it, or a line that is too long, is an error.
+pub async fn read_line(stream: &TcpStream, mut received: Vec<u8>) -> io::Result<Vec<u8>> {
+    while !received.contains(&b'\n') {
+        if received.len() >= LONGEST_LINE {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        if read_more(stream, &mut received).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(received)
+}
+
+/// Reads what there is, up to a line's length in all; 0 at the end.
+pub async fn read_more(stream: &TcpStream, received: &mut Vec<u8>) -> io::Result<usize> {
+    let mut part = [0; LONGEST_LINE];
+    let room = (LONGEST_LINE - received.len()).max(1);
+    loop {
+        stream.readable().await?;
+        match stream.try_read(&mut part[..room]) {
+            Ok(read) => {
+                received.extend_from_slice(&part[..read]);
+                return Ok(read);
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,235 @@
+//! Owns the decision module, its clock and its deadlines: hands events in and actions out. Knows no front.
+
+use super::deadlines::Deadlines;
+use pierloom::{Action, BackendId, Balancer, Ended, Event, Micros, Note, RequestId, Settings, Status};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// Notes of kind 2 come at most this often for each execute node; microseconds.
+const NOTE_GAP: Micros = 1_000_000;
+/// They tell of delays over this part of the shortest message aim, and once of the return below it.
+const NOTED_PART: u64 = 3;
+
+/// What the module wants of a job.
+#[derive(Debug)]
+pub enum Order {
+    /// Try that execute node, and stop waiting at that time.
+    Claim { node: BackendId, until: Micros },
+    /// Answer: refused, with the time to stay away.
+    Refuse(Option<Micros>),
+    /// Answer: failed.
+    Fail,
+    /// Send the submitter away politely; before it is served, nothing.
+    Move,
+}
+
+struct Entry {
+    orders: UnboundedSender<Order>,
+    standing: bool,
+}
+
+/// What was last noted of the delay at an execute node.
+#[derive(Default)]
+struct Noted {
+    at: Micros,
+    slow: bool,
+}
+
+pub struct Core {
+    balancer: RefCell<Balancer>,
+    settings: Settings,
+    pub deadlines: Deadlines,
+    jobs: RefCell<BTreeMap<RequestId, Entry>>,
+    next_job: Cell<RequestId>,
+    addresses: RefCell<BTreeMap<BackendId, SocketAddr>>,
+    asked: Notify,
+    probes: UnboundedSender<BackendId>,
+    noted: RefCell<BTreeMap<BackendId, Noted>>,
+    /// Rung when the last job has left.
+    idle: Notify,
+}
+
+impl Core {
+    /// The core, and the probes that the module asks for.
+    pub fn new(settings: Settings, seed: u64) -> Result<(Rc<Self>, UnboundedReceiver<BackendId>), String> {
+        let balancer = Balancer::new(settings.clone(), seed).map_err(|e| e.to_string())?;
+        let (probes, asked_probes) = unbounded_channel();
+        let core = Core {
+            balancer: RefCell::new(balancer),
+            settings,
+            deadlines: Deadlines::new(),
+            jobs: RefCell::default(),
+            next_job: Cell::new(1),
+            addresses: RefCell::default(),
+            asked: Notify::new(),
+            probes,
+            noted: RefCell::default(),
+            idle: Notify::new(),
+        };
+        Ok((Rc::new(core), asked_probes))
+    }
+
+    pub fn now(&self) -> Micros {
+        self.deadlines.now()
+    }
+
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Hands an event to the module and its actions to whom they concern.
+    pub fn tell(&self, event: Event) {
+        let mut actions = Vec::new();
+        self.balancer.borrow_mut().handle(self.now(), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, backend, until } => self.order(id, Order::Claim { node: backend, until }),
+                Action::Refuse { id, retry_after } => self.order(id, Order::Refuse(retry_after)),
+                Action::Fail(id) => self.order(id, Order::Fail),
+                Action::Move(id) => self.order(id, Order::Move),
+                // The probing task lives as long as the process.
+                Action::Probe(node) => drop(self.probes.send(node)),
+                Action::Subscribe => self.asked.notify_one(),
+                Action::Timer(after, token) => self.deadlines.set(self.now() + after, token),
+            }
+        }
+    }
+
+    /// A job that left meanwhile needs no orders.
+    pub fn order(&self, id: RequestId, order: Order) {
+        if let Some(job) = self.jobs.borrow().get(&id) {
+            let _ = job.orders.send(order);
+        }
+    }
+
+    /// Sweeps the deadlines, turn after turn.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            for token in self.deadlines.sweep().await {
+                self.tell(Event::Timer(token));
+            }
+        }
+    }
+
+    /// Waits until the module asks for the machine list.
+    pub async fn asked(&self) {
+        self.asked.notified().await;
+    }
+
+    pub fn set_address(&self, node: BackendId, address: SocketAddr) {
+        self.addresses.borrow_mut().insert(node, address);
+    }
+
+    pub fn address(&self, node: &BackendId) -> Option<SocketAddr> {
+        self.addresses.borrow().get(node).copied()
+    }
+
+    /// Reports how long a message took at an execute node, as often as the module expects to hear of it.
+    pub fn note_delay(&self, id: RequestId, node: &BackendId, delay: Micros) {
+        let aims = self.settings.classes.iter().map(|class| class.message_aim);
+        let Some(aim) = aims.filter(|&aim| aim > 0).min() else { return };
+        let (now, slow) = (self.now(), delay > aim / NOTED_PART);
+        {
+            let mut noted = self.noted.borrow_mut();
+            let last = noted.entry(node.clone()).or_default();
+            if !(slow || last.slow) || now < last.at + NOTE_GAP {
+                return;
+            }
+            *last = Noted { at: now, slow };
+        }
+        self.tell(Event::Noted(id, Note::Delay(delay)));
+    }
+
+    /// The jobs whose connections stand.
+    pub fn standing(&self) -> Vec<RequestId> {
+        self.jobs.borrow().iter().filter(|(_, job)| job.standing).map(|(&id, _)| id).collect()
+    }
+
+    /// The jobs that wait for their answer.
+    pub fn waiting(&self) -> Vec<RequestId> {
+        self.jobs.borrow().iter().filter(|(_, job)| !job.standing).map(|(&id, _)| id).collect()
+    }
+
+    /// Waits until no job is left.
+    pub async fn idle(&self) {
+        while !self.jobs.borrow().is_empty() {
+            self.idle.notified().await;
+        }
+    }
+}
+
+/// A job's place at the core. Leaving it, however the job ends, settles what the module still expects.
+pub struct Seat {
+    core: Rc<Core>,
+    pub id: RequestId,
+    pub orders: UnboundedReceiver<Order>,
+    /// Number of attempts begun.
+    attempts: u32,
+    /// When the attempt that is out began.
+    out: Option<Micros>,
+    /// Whether the final answer was given.
+    answered: bool,
+}
+
+impl Seat {
+    pub fn take(core: &Rc<Core>) -> Self {
+        let id = core.next_job.replace(core.next_job.get() + 1);
+        let (sender, orders) = unbounded_channel();
+        core.jobs.borrow_mut().insert(id, Entry { orders: sender, standing: false });
+        Seat { core: core.clone(), id, orders, attempts: 0, out: None, answered: false }
+    }
+
+    /// An attempt begins.
+    pub fn begin(&mut self) {
+        self.attempts += 1;
+        self.out = Some(self.core.now());
+    }
+
+    /// The attempt's connection stands.
+    pub fn stand(&mut self) {
+        let sent = self.out.unwrap_or_else(|| self.core.now());
+        let latency = self.core.now() - sent;
+        self.hold();
+        self.core.tell(Event::Established { id: self.id, attempt: self.attempts - 1, latency });
+    }
+
+    /// The connection stands already, and the module was told so.
+    pub fn hold(&mut self) {
+        self.answered = true;
+        if let Some(job) = self.core.jobs.borrow_mut().get_mut(&self.id) {
+            job.standing = true;
+        }
+    }
+
+    /// The attempt that is out has ended.
+    pub fn end(&mut self, status: Status) {
+        let Some(sent) = self.out.take() else { return };
+        let (now, closed) = (self.core.now(), self.answered);
+        let attempt = self.attempts - 1;
+        let ended = Ended { id: self.id, attempt, status, latency: now - sent, closed };
+        self.core.tell(Event::Ended(ended));
+    }
+
+    /// The final answer was the module's.
+    pub fn answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.core.jobs.borrow_mut().remove(&self.id);
+        if self.core.jobs.borrow().is_empty() {
+            self.core.idle.notify_waiters();
+        }
+        if !self.answered {
+            self.answered = true;
+            self.core.tell(Event::ClientGone(self.id));
+        }
+        self.end(Status::Cancelled);
+    }
+}
--- /dev/null
+++ b/src/net/job.rs
@@ -0,0 +1,121 @@
+//! The life of one job, from its opening to its final answer or the end of its connection.
+
+use super::claim::{self, LONGEST_LINE, Link};
+use super::core::{Core, Order, Seat};
+use super::platform::{Front, Opening};
+use super::relay;
+use pierloom::{BackendId, Event, Micros, Request};
+use std::rc::Rc;
+use tokio::net::TcpStream;
+
+/// The final answer leaves this long before the submitter stops waiting: it has a way to go; microseconds.
+const MARGIN: Micros = 20_000;
+/// Connections that stood before this proxy's start may take this long to be up again; microseconds.
+const RESUME: Micros = 35_000_000;
+/// Gap between tries to resume one; microseconds.
+const RESUME_GAP: Micros = 250_000;
+
+/// Serves one job. The module is asked what to do at each `orders.recv()`.
+pub async fn run(core: Rc<Core>, front: Rc<dyn Front>, submitter: TcpStream, opening: Box<dyn Opening>) {
+    let mut seat = Seat::take(&core);
+    let (wait, standing_at) = (opening.wait(), opening.standing_at());
+    let deadline = core.now() + wait.saturating_sub(MARGIN.min(wait / 4));
+    let request = Request { id: seat.id, deadline, ..opening.request() };
+    if let Some(node) = standing_at {
+        return resume(&core, &*front, seat, submitter, &*opening, request, node).await;
+    }
+    core.tell(Event::Request(request));
+    let mut early = Vec::new();
+    let link = loop {
+        let order = tokio::select! {
+            biased;
+            order = seat.orders.recv() => order.unwrap_or(Order::Fail),
+            () = left(&submitter, &mut early) => return,
+            // The module ends a job before this; should it not, the submitter still gets an answer.
+            () = core.deadlines.until(deadline + MARGIN / 2) => break None,
+        };
+        match order {
+            Order::Claim { node, until } => {
+                seat.begin();
+                let line = opening.for_node(until.saturating_sub(core.now()));
+                // A machine that has no address cannot be connected to.
+                let address = core.address(&node).unwrap_or(([127, 0, 0, 1], 0).into());
+                let attempt = tokio::select! {
+                    biased;
+                    attempt = claim::attempt(&core, &*front, address, &line, until) => attempt,
+                    () = left(&submitter, &mut early) => return,
+                };
+                match attempt {
+                    Ok(link) => break Some((link, node)),
+                    Err(ending) => seat.end(ending.status()),
+                }
+            }
+            Order::Refuse(wait) => {
+                seat.answered();
+                return relay::answer(&core, submitter, &front.refusal(wait)).await;
+            }
+            Order::Fail => {
+                seat.answered();
+                return relay::answer(&core, submitter, &front.failure()).await;
+            }
+            Order::Move => {}
+        }
+    };
+    let Some((link, node)) = link else {
+        drop(seat);
+        return relay::answer(&core, submitter, &front.failure()).await;
+    };
+    seat.stand();
+    let ending = relay::run(&core, &*front, &mut seat, &node, submitter, early, link).await;
+    seat.end(ending.status());
+}
+
+/// Takes up a connection again that stood before this proxy's start, at the execute node that holds it.
+async fn resume(
+    core: &Rc<Core>,
+    front: &dyn Front,
+    mut seat: Seat,
+    submitter: TcpStream,
+    opening: &dyn Opening,
+    request: Request,
+    node: BackendId,
+) {
+    // Until it stands the module knows nothing of it and is owed nothing.
+    seat.answered();
+    let (until, mut early) = (core.now() + RESUME, Vec::new());
+    let line = opening.for_node(RESUME);
+    let link: Link = loop {
+        let attempt = async {
+            match core.address(&node) {
+                Some(address) => claim::attempt(core, front, address, &line, until).await.ok(),
+                None => None,
+            }
+        };
+        let attempt = tokio::select! {
+            attempt = attempt => attempt,
+            () = left(&submitter, &mut early) => return,
+        };
+        match attempt {
+            Some(link) => break link,
+            None if core.now() + RESUME_GAP > until => {
+                return relay::answer(core, submitter, &front.failure()).await;
+            }
+            None => core.deadlines.until(core.now() + RESUME_GAP).await,
+        }
+    };
+    seat.begin();
+    core.tell(Event::Open(request, node.clone()));
+    seat.hold();
+    let ending = relay::run(core, front, &mut seat, &node, submitter, early, link).await;
+    seat.end(ending.status());
+}
+
+/// Ends when the submitter leaves; what it sends meanwhile is kept for the execute node.
+async fn left(submitter: &TcpStream, early: &mut Vec<u8>) {
+    while early.len() < LONGEST_LINE {
+        if !matches!(claim::read_more(submitter, early).await, Ok(1..)) {
+            return;
+        }
+    }
+    std::future::pending().await
+}
--- /dev/null
+++ b/src/net/machine_list.rs
@@ -0,0 +1,157 @@
+//! The machine list: discovery's list over HTTP/1.1, read whole once and then watched for changes.
+
+use super::core::Core;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use pierloom::wire::Names;
+use pierloom::{Event, ListKind, Member, MemberState, Micros};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+
+/// How long discovery may hold a watch: short enough to notice soon that it was cut off; milliseconds.
+const HOLD_MS: u64 = 10_000;
+/// What a call may take beyond that: discovery gives up on a queued one after three seconds; microseconds.
+const SLACK: Micros = 3_500_000;
+/// Largest list that is read: thousands of machines; bytes.
+const MOST: usize = 4 << 20;
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Status {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Deserialize)]
+struct Endpoint {
+    name: String,
+    #[serde(default)]
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    group: u64,
+    status: Status,
+    weight: Option<f64>,
+    #[serde(default)]
+    since_ms: u64,
+}
+
+/// An answer of discovery's.
+#[derive(Deserialize, Default)]
+pub struct List {
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    #[serde(default)]
+    endpoints: Vec<Endpoint>,
+}
+
+impl Endpoint {
+    fn member(&self, names: &Names) -> Member {
+        Member {
+            backend: self.name.as_str().into(),
+            state: match self.status {
+                Status::Ready => MemberState::Ready,
+                Status::Draining => MemberState::Draining,
+                Status::Gone => MemberState::Gone,
+            },
+            zone: names.zone(&self.zone),
+            cell: self.group,
+            weight: self.weight.unwrap_or(1.0),
+            started: self.since_ms * 1_000,
+        }
+    }
+}
+
+/// Hands a list to the core: the addresses first, so that whatever the module picks can be dialled.
+pub fn enter(core: &Core, names: &Names, list: &List, kind: ListKind) {
+    for endpoint in &list.endpoints {
+        match endpoint.address.parse() {
+            Ok(address) => core.set_address(endpoint.name.as_str().into(), address),
+            // A machine that is gone may be named without one.
+            Err(_) if matches!(endpoint.status, Status::Gone) => {}
+            Err(_) => eprintln!("machine list: {} has the address {:?}", endpoint.name, endpoint.address),
+        }
+    }
+    let members = list.endpoints.iter().map(|endpoint| endpoint.member(names)).collect();
+    core.tell(Event::Members { kind, members });
+}
+
+/// The list that the proxy had before its start, however old.
+pub fn enter_known(core: &Core, names: &Names, known: &List) {
+    enter(core, names, known, ListKind::Full);
+}
+
+type Sender = SendRequest<Empty<Bytes>>;
+
+async fn connect(discovery: SocketAddr) -> Result<Sender, String> {
+    let stream = TcpStream::connect(discovery).await.map_err(|e| e.to_string())?;
+    stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    tokio::task::spawn_local(connection);
+    Ok(sender)
+}
+
+/// One watch call on the kept connection, or on a new one.
+async fn call(kept: &mut Option<Sender>, discovery: SocketAddr, index: u64) -> Result<List, String> {
+    let mut sender = match kept.take().filter(|sender| !sender.is_closed()) {
+        Some(sender) => sender,
+        None => connect(discovery).await?,
+    };
+    sender.ready().await.map_err(|e| e.to_string())?;
+    let request = hyper::Request::get(format!("/api/targets?from={index}&hold_ms={HOLD_MS}"))
+        .header(HOST, discovery.to_string())
+        .body(Empty::new())
+        .map_err(|e| e.to_string())?;
+    let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MOST).collect().await.map_err(|e| e.to_string())?;
+    if !status.is_success() {
+        return Err(format!("status {status}"));
+    }
+    *kept = Some(sender);
+    let mut bytes = body.to_bytes().to_vec();
+    simd_json::serde::from_slice(&mut bytes).map_err(|e| e.to_string())
+}
+
+/// Watches for as long as calls succeed; whether and when to ask again is the module's to say.
+pub async fn watch(core: Rc<Core>, names: Rc<Names>, discovery: SocketAddr, mut index: u64) {
+    let mut kept = None;
+    loop {
+        core.asked().await;
+        loop {
+            let limit = core.now() + HOLD_MS * 1_000 + SLACK;
+            let answer = tokio::select! {
+                answer = call(&mut kept, discovery, index) => answer,
+                () = core.deadlines.until(limit) => Err("no answer".to_string()),
+            };
+            match answer {
+                Ok(list) => {
+                    index = list.index;
+                    let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
+                    enter(&core, &names, &list, kind);
+                }
+                Err(why) => {
+                    eprintln!("machine list: a call failed: {why}");
+                    kept = None;
+                    core.tell(Event::Members { kind: ListKind::Failed, members: [].into() });
+                    break;
+                }
+            }
+        }
+    }
+}
+
+impl List {
+    /// The version from which to watch.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+}
--- /dev/null
+++ b/src/net/relay.rs
@@ -0,0 +1,329 @@
+//! The relay of lines between a submitter and an execute node, once a claim is up, and polite endings.
+
+use super::claim::{Cause, Ending, LONGEST_LINE, Link, Reach, write_all};
+use super::core::{Core, Order, Seat};
+use super::platform::{Front, Reply};
+use pierloom::{BackendId, Event, Micros, Note, Status};
+use socket2::SockRef;
+use std::collections::VecDeque;
+use std::io;
+use std::net::Shutdown;
+use std::time::Duration;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+
+/// Once one side has ended, the other has this long to end too; microseconds.
+const ENDING: Micros = 800_000;
+/// A message without its answer is reported this often; microseconds.
+const SILENT_STEP: Micros = 1_000_000;
+/// An execute node that stops within a line gets this long to finish it before a move; microseconds.
+const HALF_LINE: Micros = 2_000_000;
+/// As much of a line as tells what it says; bytes.
+const HEAD: usize = 64;
+/// Messages on the way whose times are kept: two seconds lie between them.
+const WAITING: usize = 64;
+
+/// One direction: a bounded buffer between two sockets.
+struct Pipe {
+    buffer: Vec<u8>,
+    ended: bool,
+    passed_end: bool,
+}
+
+impl Pipe {
+    fn new(first: Vec<u8>) -> Self {
+        Pipe { buffer: first, ended: false, passed_end: false }
+    }
+
+    /// Reads once if there is room; the part that came.
+    fn read(&mut self, from: &TcpStream) -> io::Result<usize> {
+        if self.ended || !self.buffer.is_empty() {
+            return Ok(0);
+        }
+        let mut part = [0; LONGEST_LINE];
+        match from.try_read(&mut part) {
+            Ok(0) => self.ended = true,
+            Ok(read) => self.buffer.extend_from_slice(&part[..read]),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        Ok(self.buffer.len())
+    }
+
+    /// Writes what there is, and passes the end on after it.
+    fn write(&mut self, to: &TcpStream) -> io::Result<()> {
+        while !self.buffer.is_empty() {
+            match to.try_write(&self.buffer) {
+                Ok(written) => drop(self.buffer.drain(..written)),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+        }
+        if self.ended && !self.passed_end {
+            self.passed_end = true;
+            // The other side may be gone already, which its own direction tells.
+            let _ = SockRef::from(to).shutdown(Shutdown::Write);
+        }
+        Ok(())
+    }
+}
+
+/// Splits what passes into lines, and keeps the beginning of each.
+#[derive(Default)]
+struct Lines {
+    head: Vec<u8>,
+    within: bool,
+}
+
+impl Lines {
+    fn feed(&mut self, bytes: &[u8], mut line: impl FnMut(&[u8])) {
+        for &byte in bytes {
+            if byte == b'\n' {
+                line(self.head.strip_suffix(b"\r").unwrap_or(&self.head));
+                self.head.clear();
+                self.within = false;
+            } else {
+                self.within = true;
+                if self.head.len() < HEAD {
+                    self.head.push(byte);
+                }
+            }
+        }
+    }
+}
+
+fn interest(read: bool, write: bool) -> Option<Interest> {
+    match (read, write) {
+        (true, true) => Some(Interest::READABLE | Interest::WRITABLE),
+        (true, false) => Some(Interest::READABLE),
+        (false, true) => Some(Interest::WRITABLE),
+        (false, false) => None,
+    }
+}
+
+async fn ready(stream: &TcpStream, interest: Option<Interest>) {
+    match interest {
+        // An error shows at the read or write that follows.
+        Some(interest) => drop(stream.ready(interest).await),
+        None => std::future::pending().await,
+    }
+}
+
+/// A connection that is up, between a submitter and an execute node.
+struct Relay<'a> {
+    core: &'a Core,
+    front: &'a dyn Front,
+    seat: &'a mut Seat,
+    node_id: &'a BackendId,
+    /// From the submitter to the execute node, and back.
+    up: Pipe,
+    down: Pipe,
+    up_lines: Lines,
+    down_lines: Lines,
+    /// When each message went in that has no answer yet.
+    waiting: VecDeque<Micros>,
+    next_silent: Micros,
+    /// The last thing that the execute node said of the end.
+    said: Option<Reply>,
+    /// When a move was first wanted.
+    move_wanted: Option<Micros>,
+    ended_at: Option<Micros>,
+}
+
+impl Relay<'_> {
+    /// Books the lines that passed from the submitter.
+    fn went_up(&mut self) {
+        let (now, waiting) = (self.core.now(), &mut self.waiting);
+        self.up_lines.feed(&self.up.buffer, |_| {
+            if waiting.is_empty() {
+                self.next_silent = now + SILENT_STEP;
+            }
+            if waiting.len() < WAITING {
+                waiting.push_back(now);
+            }
+        });
+    }
+
+    /// Books the lines that passed from the execute node.
+    fn went_down(&mut self) {
+        let (now, front, waiting, said) = (self.core.now(), self.front, &mut self.waiting, &mut self.said);
+        let (mut load, mut delay) = (None, None);
+        self.down_lines.feed(&self.down.buffer, |line| match front.reply(line) {
+            Reply::Load(value) => load = Some(value),
+            reply @ (Reply::Bye | Reply::Move) => *said = Some(reply),
+            _ => {
+                if let Some(since) = waiting.pop_front() {
+                    delay = Some(now - since);
+                    self.next_silent = waiting.front().map_or(Micros::MAX, |at| (at + SILENT_STEP).max(now));
+                }
+            }
+        });
+        if let Some(load) = load {
+            self.core.tell(Event::Noted(self.seat.id, Note::Load(load)));
+        }
+        if let Some(delay) = delay {
+            self.core.note_delay(self.seat.id, self.node_id, delay);
+        }
+    }
+
+    /// Reports a message that waits for its answer.
+    fn silent(&mut self) {
+        let Some(&since) = self.waiting.front() else { return };
+        let now = self.core.now();
+        self.next_silent = now + SILENT_STEP;
+        self.core.note_delay(self.seat.id, self.node_id, now - since);
+        self.core.tell(Event::Noted(self.seat.id, Note::Silent(now - since)));
+    }
+
+    /// When the relay has to look again though nothing comes.
+    fn look_at(&self) -> Micros {
+        let silent = if self.waiting.is_empty() { Micros::MAX } else { self.next_silent };
+        let ending = self.ended_at.map_or(Micros::MAX, |at| at + ENDING);
+        let half_line = self.move_wanted.map_or(Micros::MAX, |at| at + HALF_LINE);
+        silent.min(ending).min(half_line)
+    }
+
+    /// Passes on what is there, both ways; an error is a reset of that side.
+    fn pass(&mut self, submitter: &TcpStream, node: &TcpStream) -> Result<(), Broke> {
+        if self.up.read(submitter).map_err(|_| Broke::Submitter)? > 0 {
+            self.went_up();
+        }
+        self.up.write(node).map_err(|_| Broke::Node)?;
+        if self.down.read(node).map_err(|_| Broke::Node)? > 0 {
+            self.went_down();
+        }
+        self.down.write(submitter).map_err(|_| Broke::Submitter)
+    }
+
+    /// Why the claim ended, once one side has.
+    fn cause(&mut self) -> Cause {
+        match self.said.take() {
+            Some(said) => Cause::Said(said),
+            None if self.up.ended => Cause::Left,
+            None => Cause::Broke,
+        }
+    }
+}
+
+/// Which side broke its connection.
+enum Broke {
+    Submitter,
+    Node,
+}
+
+/// Passes bytes both ways at once and unchanged until the connection ends; how it ended.
+pub async fn run(
+    core: &Core,
+    front: &dyn Front,
+    seat: &mut Seat,
+    node_id: &BackendId,
+    submitter: TcpStream,
+    early: Vec<u8>,
+    link: Link,
+) -> Ending {
+    let ending = |cause| Ending { reach: Reach::Up, cause };
+    let Link { stream: node, received } = link;
+    let mut relay = Relay {
+        core,
+        front,
+        seat,
+        node_id,
+        up: Pipe::new(early),
+        down: Pipe::new(Vec::new()),
+        up_lines: Lines::default(),
+        down_lines: Lines::default(),
+        waiting: VecDeque::new(),
+        next_silent: Micros::MAX,
+        said: None,
+        move_wanted: None,
+        ended_at: None,
+    };
+    relay.went_up();
+    // The answer that brought the connection up is no answer to a message; what came behind it may be.
+    let after = received.iter().position(|&byte| byte == b'\n').map_or(received.len(), |at| at + 1);
+    relay.down.buffer = received[after..].to_vec();
+    relay.went_down();
+    relay.down.buffer = received;
+    loop {
+        match relay.pass(&submitter, &node) {
+            Ok(()) => {}
+            Err(Broke::Submitter) => {
+                reset(&node);
+                return ending(Cause::Left);
+            }
+            Err(Broke::Node) => {
+                // What it said before belongs to the submitter; then the reset is passed on.
+                let _ = relay.down.write(&submitter);
+                reset(&submitter);
+                return ending(relay.cause());
+            }
+        }
+        let now = core.now();
+        if relay.up.passed_end && relay.down.passed_end {
+            return ending(relay.cause());
+        }
+        if relay.ended_at.is_none() && (relay.up.ended || relay.down.ended) {
+            relay.ended_at = Some(now);
+        }
+        if relay.ended_at.is_some_and(|at| now >= at + ENDING) {
+            return ending(relay.cause());
+        }
+        if let Some(wanted) = relay.move_wanted.filter(|_| relay.ended_at.is_none()) {
+            let between = relay.down.buffer.is_empty() && !relay.down_lines.within;
+            if between || now >= wanted + HALF_LINE {
+                drop(node);
+                let farewell = if between { front.farewell() } else { b"" };
+                relay.seat.end(Status::Cancelled);
+                answer(core, submitter, farewell).await;
+                return ending(Cause::Left);
+            }
+        }
+        if now >= relay.look_at() {
+            relay.silent();
+        }
+        let submitter_interest =
+            interest(!relay.up.ended && relay.up.buffer.is_empty(), !relay.down.buffer.is_empty());
+        let node_interest =
+            interest(!relay.down.ended && relay.down.buffer.is_empty(), !relay.up.buffer.is_empty());
+        let look_at = relay.look_at();
+        tokio::select! {
+            () = ready(&submitter, submitter_interest) => {}
+            () = ready(&node, node_interest) => {}
+            order = relay.seat.orders.recv() => {
+                if matches!(order, Some(Order::Move)) {
+                    relay.move_wanted.get_or_insert(core.now());
+                }
+            }
+            () = core.deadlines.until(look_at) => {}
+        }
+    }
+}
+
+/// Makes the coming close of this connection a reset.
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// Sends the last words, ends the sending and waits a little for the other side to end: a close with bytes
+/// unread would be a reset, and could take the words back.
+pub async fn answer(core: &Core, stream: TcpStream, words: &[u8]) {
+    let goodbye = async {
+        write_all(&stream, words).await?;
+        SockRef::from(&stream).shutdown(Shutdown::Write)?;
+        let mut rest = [0; LONGEST_LINE];
+        loop {
+            stream.readable().await?;
+            match stream.try_read(&mut rest) {
+                Ok(0) => return Ok(()),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err::<(), io::Error>(e),
+            }
+        }
+    };
+    tokio::select! {
+        // Whether it was heard to the end changes nothing here.
+        _ = goodbye => {}
+        () = core.deadlines.until(core.now() + ENDING) => {}
+    }
+}
--- /dev/null
+++ b/src/net/shutdown.rs
@@ -0,0 +1,44 @@
+//! The planned stop: new submitters still come for a moment, and all are sent away in a spread.
+
+use super::core::{Core, Order};
+use pierloom::Micros;
+use std::io;
+use std::rc::Rc;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The kill comes no sooner than the longest deadline after the signal, counted as at most this...
+const LONGEST_COUNTED: Micros = 3_000_000;
+/// ...and this much more; microseconds.
+const KILL_SLACK: Micros = 700_000;
+/// Until then the front may still send new submitters; microseconds.
+const STILL_COMING: Micros = 450_000;
+/// Before the kill, all moves are under way this early, and the process ends this early; microseconds.
+const MOVED_EARLY: Micros = 1_100_000;
+const ENDED_EARLY: Micros = 250_000;
+/// Moves go out in steps of this; microseconds.
+const STEP: Micros = 50_000;
+
+/// Waits for SIGTERM and serves the rest of the process's life.
+pub async fn on_sigterm(core: Rc<Core>) -> io::Result<()> {
+    signal(SignalKind::terminate())?.recv().await;
+    let told = core.now();
+    let longest = core.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let kill = told + longest.min(LONGEST_COUNTED) + KILL_SLACK;
+    let last_move = kill.saturating_sub(MOVED_EARLY).max(told);
+    core.deadlines.until(told + STILL_COMING.min(kill - told)).await;
+    while core.now() < last_move {
+        let steps = (last_move - core.now()).div_ceil(STEP).max(1);
+        let standing = core.standing();
+        let share = standing.len().div_ceil(steps as usize);
+        standing.into_iter().take(share).for_each(|id| core.order(id, Order::Move));
+        core.deadlines.until(core.now() + STEP).await;
+    }
+    // Whoever is not served by now is free to go elsewhere while there is time.
+    core.waiting().into_iter().for_each(|id| core.order(id, Order::Refuse(None)));
+    core.standing().into_iter().for_each(|id| core.order(id, Order::Move));
+    tokio::select! {
+        () = core.idle() => {}
+        () = core.deadlines.until(kill - ENDED_EARLY) => {}
+    }
+    Ok(())
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -41,6 +41,29 @@
 pub struct Names {
     classes: BTreeMap<String, usize>,
     zones: BTreeMap<String, u16>,
+    columns: Vec<String>,
+}
+
+impl Names {
+    /// Index of a class; one that the settings do not name has none that exists.
+    pub fn class(&self, name: &str) -> usize {
+        self.classes.get(name).copied().unwrap_or(usize::MAX)
+    }
+
+    /// Index of a zone. Zones that the settings do not name share one.
+    pub fn zone(&self, name: &str) -> u16 {
+        self.zones.get(name).copied().unwrap_or(u16::MAX)
+    }
+
+    /// The values that a load report holds, in order.
+    pub fn columns(&self) -> &[String] {
+        &self.columns
+    }
+}
+
+/// Stable hash of a key or a group; none for an absent one.
+pub fn key_hash(text: &str) -> Option<u64> {
+    (text != "-").then(|| xxh3_64(text.as_bytes()))
 }
 
 #[derive(Deserialize)]
@@ -153,8 +176,11 @@
 
 /// Reads settings.
 pub fn settings(json: &str) -> Result<(Settings, Names), Fault> {
-    let mut value: serde_json::Value =
-        serde_json::from_str(json).map_err(|e| format!("INIT settings: {e}"))?;
+    settings_value(serde_json::from_str(json).map_err(|e| format!("INIT settings: {e}"))?)
+}
+
+/// Reads settings that are parsed already.
+pub fn settings_value(mut value: serde_json::Value) -> Result<(Settings, Names), Fault> {
     drop_nulls(&mut value);
     let wire: WireSettings =
         serde_path_to_error::deserialize(value).map_err(|e| format!("INIT settings: {e}"))?;
@@ -170,7 +196,7 @@
             return Err(format!("INIT settings: {field} is negative"));
         }
     }
-    let mut names = Names::default();
+    let mut names = Names { columns: wire.feedback.columns.clone(), ..Names::default() };
     for zone in &wire.zones {
         let next = names.zones.len() as u16;
         names.zones.entry(zone.clone()).or_insert(next);
@@ -382,7 +408,7 @@
     }
 }
 
-/// Reads one entry of a list. Zones that the settings do not name share one index.
+/// Reads one entry of a list.
 pub fn entry(text: &str, names: &Names) -> Result<Member, Fault> {
     let mut fields = Fields::of(text);
     let health = fields.text("health")?;
@@ -398,7 +424,7 @@
     let weight = fields.maybe_number("power-hint")?.unwrap_or(1.0);
     let started = fields.maybe_number("ready-at")?.map_or(0, micros);
     let backend = fields.text("backend")?.into();
-    let zone = names.zones.get(zone).copied().unwrap_or(u16::MAX);
+    let zone = names.zone(zone);
     fields.end(Member { backend, state, zone, cell, weight, started })
 }
 
@@ -416,12 +442,11 @@
         "-" => 0,
         _ => bits.parse().map_err(|_| fields.bad("state-bits", bits))?,
     };
-    let hash = |text: &str| (text != "-").then(|| xxh3_64(text.as_bytes()));
     Ok(Request {
         id,
-        class: names.classes.get(class).copied().unwrap_or(usize::MAX),
-        key: hash(item),
-        group: hash(channel),
+        class: names.class(class),
+        key: key_hash(item),
+        group: key_hash(channel),
         deadline,
         hint: hint.filter(|_| bits & 1 != 0).map(|seconds| seconds * 1e6),
         mid_flow: bits & 8 != 0,
