Move connections off leaving backends; tests that play the real program's world

The module never moved anybody off a draining or withdrawn backend. It now does, in rounds, once each, and it moves a connection that the host calls silent for four seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -72,10 +72,15 @@
 const CALL: Micros = 20_000;
 /// A connection whose message is unanswered this long is moved: some rounds of messages; microseconds.
 const SILENCE: Micros = 4_000_000;
-/// Timer tokens: the learning tick, a look at the held requests, a renewed subscription.
+/// Timer tokens: the learning tick, a look at the held requests, a renewed subscription, a round of moves.
 const TICK: u64 = 0;
 const HOLD: u64 = 1;
 const ASK: u64 = 2;
+const EMPTY: u64 = 3;
+/// Gap between rounds of moves off backends that leave; microseconds.
+const EMPTY_GAP: Micros = 100_000;
+/// Part of them moved in a round, one at least: most are away within two seconds, and not all at once.
+const EMPTY_PART: usize = 20;
 
 /// Standard errors tell; one tick has no deviation to judge it by, so it is never trusted.
 fn trusted(slice: &Slice) -> bool {
@@ -211,6 +216,7 @@
                     self.set_ups += 1;
                     self.learn(&request, latency);
                     self.succeeded(i, now);
+                    self.clear_out(i, out);
                 }
             }
             Event::Ended(ended) => self.on_ended(now, &ended, out),
@@ -221,6 +227,7 @@
                 self.placed.retain(|_, at| *at + memory > now);
                 out.push(Action::Timer(self.admission.tick, TICK));
             }
+            Event::Timer(EMPTY) => self.move_off(out),
             Event::Timer(HOLD) => self.retry_held(now, false, out),
             Event::Timer(ASK) if self.asking => {
                 self.asking = false;
@@ -265,6 +272,7 @@
                 backend.unproven |= backend.standing.is_empty();
             }
         }
+        (0..self.backends.len()).for_each(|i| self.clear_out(i, out));
         self.table_stale |= (0..self.backends.len()).any(|i| self.moved(i, now));
         let size = |i: usize| if self.settings.live_weights { 1.0 } else { self.weight(i) };
         let capacity: f64 = self.ready().map(size).sum();
@@ -273,6 +281,42 @@
         }
     }
 
+    /// Exception "leaving": guards against a backend that stops under its clients. Whoever stands on one that
+    /// drains, or is withdrawn where that binds, is moved away in rounds; once each.
+    fn clear_out(&mut self, i: usize, out: &mut Vec<Action>) {
+        if !self.barred(i) {
+            return;
+        }
+        let idle = self.leaving.is_empty();
+        let standing = self.backends[i].standing.iter();
+        let new: Vec<_> = standing.copied().filter(|id| !self.leaving.contains(id)).collect();
+        self.leaving.extend(new);
+        if idle && !self.leaving.is_empty() {
+            out.push(Action::Timer(EMPTY_GAP, EMPTY));
+        }
+    }
+
+    /// One round of those moves. A backend that is listed as ready again keeps the rest.
+    fn move_off(&mut self, out: &mut Vec<Action>) {
+        let mut left = self.leaving.len().div_ceil(EMPTY_PART);
+        while left > 0 {
+            let Some(id) = self.leaving.pop_front() else { return };
+            let at = self.works.get(&id).filter(|work| work.standing).and_then(|work| work.out);
+            if at.is_some_and(|(i, ..)| self.barred(i)) {
+                out.push(Action::Move(id));
+                left -= 1;
+            }
+        }
+        if !self.leaving.is_empty() {
+            out.push(Action::Timer(EMPTY_GAP, EMPTY));
+        }
+    }
+
+    /// Whether the rules bar everything new from it.
+    fn barred(&self, i: usize) -> bool {
+        self.backends[i].drained || self.settings.removal_binds && !self.backends[i].ready()
+    }
+
     /// Asks for the list after a chance gap, doubled with each vain call: all relays start or fail in step.
     fn ask(&mut self, out: &mut Vec<Action>) {
         if !self.settings.ask_for_list || std::mem::replace(&mut self.asking, true) {
@@ -569,8 +613,7 @@
 
     /// Whether the rules let this request go to that backend at all.
     fn allowed(&self, now: Micros, work: &Work, i: usize) -> bool {
-        let backend = &self.backends[i];
-        if backend.drained || self.settings.removal_binds && !backend.ready() {
+        if self.barred(i) {
             return false;
         }
         let Some((ran, sent)) = work.may_have_run else { return true };
--- a/src/state.rs
+++ b/src/state.rs
@@ -273,6 +273,8 @@
     pub(crate) set_ups: u64,
     /// Requests without an attempt out, in order of arrival.
     pub(crate) held: Vec<RequestId>,
+    /// Standing connections to be moved off backends that leave, in order.
+    pub(crate) leaving: VecDeque<RequestId>,
     /// Backends that were slow lately.
     pub(crate) slow: BTreeSet<usize>,
     /// Backends that we hold standing connections at.
@@ -492,6 +494,7 @@
             placed: BTreeMap::new(),
             set_ups: 0,
             held: Vec::new(),
+            leaving: VecDeque::new(),
             slow: BTreeSet::new(),
             known: BTreeSet::new(),
             accepted: VecDeque::new(),
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,324 @@
+//! The real program as a process, among submitters, execute nodes and a machine list.
+
+mod world;
+
+use std::time::{Duration, Instant};
+use world::{LONG, Node, Peer, Proxy, SETTINGS, config, config_file, entry, program};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// An address where nothing listens any more.
+fn closed() -> std::net::SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+#[test]
+fn a_job_is_served_and_its_lines_pass_unchanged() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("served", &[&node]);
+    let mut submitter = proxy.submitter();
+    submitter.send("PING\r\n");
+    assert_eq!(submitter.line(), "PONG\r\n");
+    submitter.send("OPEN 9b1f 7f3a zz=1,c=feed,d=2000,g=5c0f,again=1,new=x\r\n");
+    let (mut at_node, line) = node.opened();
+    // All but `d` is unchanged: it tells how long the proxy itself waits.
+    let (before, rest) = line.split_once("d=").unwrap();
+    let (wait, after) = rest.split_once(',').unwrap();
+    assert_eq!((before, after), ("OPEN 9b1f 7f3a zz=1,c=feed,", "g=5c0f,again=1,new=x\r\n"));
+    assert!((1..=2000).contains(&wait.parse::<u32>().unwrap()), "{wait}");
+    at_node.send("UP r1\r\nLOAD 20");
+    assert_eq!(submitter.line(), "UP r1\r\n");
+    // Half a line is passed on at once too, and what is no text.
+    assert_eq!(submitter.read(7), b"LOAD 20");
+    let long = "x".repeat(200_000);
+    at_node.send(&format!("00.5\r\n{long}\u{1}\r\n"));
+    assert_eq!(submitter.line(), "00.5\r\n");
+    assert_eq!(submitter.line(), format!("{long}\u{1}\r\n"));
+    submitter.send(&format!("{long}\r\nm 2\r\n"));
+    assert_eq!(at_node.line(), format!("{long}\r\n"));
+    assert_eq!(at_node.line(), "m 2\r\n");
+    at_node.send("BYE\r\n");
+    drop(at_node);
+    assert_eq!(submitter.end(), ("BYE\r\n".into(), false));
+}
+
+#[test]
+fn ends_and_resets_of_either_side_reach_the_other() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("ends", &[&node]);
+    let (submitter, mut at_node) = proxy.connect("k1", &node);
+    submitter.end_sending();
+    assert_eq!(at_node.end(), (String::new(), false));
+    let (submitter, mut at_node) = proxy.connect("k2", &node);
+    submitter.reset();
+    assert!(at_node.end().1, "a reset");
+    // Last, as the module spares a node that broke a connection.
+    let (mut submitter, at_node) = proxy.connect("k3", &node);
+    at_node.reset();
+    assert!(submitter.end().1, "a reset");
+}
+
+#[test]
+fn first_lines_that_are_no_job_get_one_answer_and_reach_no_node() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("malformed", &[&node]);
+    let overlong = format!("OPEN 0a k c=feed,d=4800,x={}\r\n", "y".repeat(5000));
+    for line in [
+        "\r\n",
+        "OPEN\r\n",
+        "OPEN 0a k\r\n",
+        "OPEN 0a k c=feed\r\n",
+        "OPEN 0a k c=feed,d=x\r\n",
+        "OPEN 0a k c=feed,d=4800,d=1\r\n",
+        "OPEN 0a k c=feed,d=99999999999999999999\r\n",
+        "OPEN 0a k c=feed,,d=4800\r\n",
+        "OPEN 0a  k c=feed,d=4800\r\n",
+        "OPEN 0a k c=feed,d=4800\n",
+        "OPEN \u{e9} k c=feed,d=4800\r\n",
+        "GET / HTTP/1.1\r\n",
+        &overlong,
+    ] {
+        let mut submitter = proxy.submitter();
+        submitter.send(line);
+        submitter.end_sending();
+        assert_eq!(submitter.end().0, "ERR\r\n", "{line:?}");
+    }
+    let mut half = proxy.submitter();
+    half.send("OPEN 0a k c=fe");
+    half.end_sending();
+    assert_eq!(half.end(), (String::new(), false));
+    proxy.submitter().reset();
+    assert!(node.untouched());
+    proxy.connect("k", &node);
+}
+
+#[test]
+fn what_a_claim_comes_to_decides_what_follows() {
+    let nodes = [Node::new("n0"), Node::new("n1")];
+    let mut entries: Vec<String> = nodes.iter().map(|node| node.entry("ready")).collect();
+    entries.push(entry("n2", closed(), "ready"));
+    let answers = ["BUSY\r\n", "ERR\r\n", "MOVE\r\n", "what\r\n", ""];
+    for (i, answer) in answers.iter().enumerate() {
+        // A new proxy each time: one that has seen failures spares these nodes.
+        let proxy = Proxy::start_with(&format!("claims{i}"), 1024, &entries, SETTINGS);
+        let mut submitter = proxy.open(&format!("k{i}"));
+        // Each claim is closed before the next; the last thing the submitter hears is one refusal.
+        let (mut claims, mut answered) = (0, None);
+        while answered.is_none() && claims < 4 {
+            let taken = nodes.iter().find_map(|node| node.try_opened());
+            match taken {
+                Some((mut at_node, line)) => {
+                    assert!(line.starts_with(&format!("OPEN 0a k{i} ")));
+                    at_node.send(answer);
+                    at_node.end_sending();
+                    at_node.end();
+                    claims += 1;
+                }
+                None => answered = submitter.line_within(Duration::from_millis(5)),
+            }
+        }
+        let answered = answered.unwrap_or_else(|| submitter.line());
+        assert!(claims > 0 && answered.starts_with("BUSY "), "{answer:?}: {claims} claims, {answered:?}");
+        assert_eq!(submitter.end(), (String::new(), false));
+    }
+}
+
+#[test]
+fn a_silent_node_is_given_up_in_time_for_an_answer() {
+    let nodes = [Node::new("n0"), Node::new("n1")];
+    let proxy = Proxy::start("late", &[&nodes[0], &nodes[1]]);
+    let mut submitter = proxy.submitter();
+    let sent = Instant::now();
+    submitter.send("OPEN 0a k c=feed,d=1500\r\n");
+    let mut open: Vec<(Peer, String)> = Vec::new();
+    let answer = loop {
+        if let Some(claim) = nodes.iter().find_map(|node| node.try_opened()) {
+            // The claim before is closed by now.
+            if let Some((before, _)) = open.last_mut() {
+                assert_eq!(before.end(), (String::new(), false));
+            }
+            open.push(claim);
+        }
+        if let Some(answer) = submitter.line_within(Duration::from_millis(5)) {
+            break answer;
+        }
+    };
+    assert!(sent.elapsed() < Duration::from_millis(1500), "{:?}", sent.elapsed());
+    assert!(answer.starts_with("BUSY ") || answer == "ERR\r\n", "{answer:?}");
+    assert!(!open.is_empty());
+    assert_eq!(submitter.end(), (String::new(), false));
+}
+
+#[test]
+fn a_submitter_that_leaves_takes_its_claim_along() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("leaves", &[&node]);
+    let submitter = proxy.open("k");
+    let (mut at_node, _) = node.opened();
+    drop(submitter);
+    assert_eq!(at_node.end(), (String::new(), false));
+}
+
+#[test]
+fn a_connection_that_stood_before_goes_to_its_node_and_is_moved_like_others() {
+    let nodes = [Node::new("n0"), Node::new("n1")];
+    let proxy = Proxy::start("stood", &[&nodes[0], &nodes[1]]);
+    let mut standing = Vec::new();
+    for i in 0..4 {
+        let mut submitter = proxy.submitter();
+        submitter.send(&format!("OPEN 0a k{i} c=feed,d=4800,at=n1\r\n"));
+        let (mut at_node, line) = nodes[1].opened();
+        assert!(line.ends_with(",at=n1\r\n"), "{line}");
+        at_node.send("UP r\r\n");
+        assert_eq!(submitter.line(), "UP r\r\n");
+        standing.push((submitter, at_node));
+    }
+    proxy.list.tell(&nodes[1].entry("draining"));
+    for (mut submitter, mut at_node) in standing {
+        assert_eq!(submitter.line(), "MOVE\r\n");
+        assert_eq!(submitter.end(), (String::new(), false));
+        at_node.end();
+    }
+    assert!(nodes[0].untouched());
+}
+
+#[test]
+fn a_move_waits_for_the_end_of_a_line() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("between", &[&node]);
+    let (mut submitter, mut at_node) = proxy.connect("k", &node);
+    let (mut other, _at_node) = proxy.connect("k2", &node);
+    at_node.send("half ");
+    assert_eq!(submitter.read(5), b"half ");
+    proxy.list.tell(&node.entry("draining"));
+    // The other one is moved in the same second; by then this one's move is wanted too, or soon will be.
+    assert_eq!(other.line(), "MOVE\r\n");
+    at_node.send("a line\r\n");
+    assert_eq!(submitter.line(), "a line\r\n");
+    assert_eq!(submitter.line(), "MOVE\r\n");
+}
+
+#[test]
+fn a_node_that_answers_nothing_loses_its_submitters_by_a_move() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("silent", &[&node]);
+    let (mut submitter, _at_node) = proxy.connect("k", &node);
+    let sent = Instant::now();
+    submitter.send("M\r\n");
+    assert_eq!(submitter.line(), "MOVE\r\n");
+    assert!(sent.elapsed() < 7 * SECOND, "{:?}", sent.elapsed());
+}
+
+#[test]
+fn the_watch_goes_on_over_one_connection_and_failures_do_not_hammer() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("watch", &[&node]);
+    let first = proxy.list.calls.recv_timeout(LONG).unwrap();
+    assert_eq!((first.connection, first.from), (0, 1));
+    let told = Instant::now();
+    proxy.list.tell(&node.entry("ready"));
+    let second = proxy.list.calls.recv_timeout(LONG).unwrap();
+    assert_eq!((second.connection, second.from), (0, 2));
+    // 200 ms is the rule; a slow machine of this test may take a part of them.
+    assert!(second.at - told < Duration::from_millis(200));
+    let failed = Instant::now();
+    proxy.list.fail(6);
+    let calls: Vec<_> = (0..6).map(|_| proxy.list.calls.recv_timeout(LONG).unwrap()).collect();
+    assert!(calls.iter().all(|call| call.from == 2));
+    assert!(calls[5].at - failed > Duration::from_millis(50), "the gaps grow with each failure");
+    // The watch is up again: what is told then arrives.
+    let (mut submitter, _at_node) = proxy.connect("k", &node);
+    proxy.list.tell(&node.entry("draining"));
+    assert_eq!(submitter.line(), "MOVE\r\n");
+}
+
+#[test]
+fn a_planned_stop_answers_newcomers_and_moves_everyone_in_time() {
+    let node = Node::new("n");
+    let mut proxy = Proxy::start("stop", &[&node]);
+    let mut standing: Vec<_> = (0..12).map(|i| proxy.connect(&format!("k{i}"), &node)).collect();
+    let told = Instant::now();
+    proxy.terminate();
+    let mut unanswered = proxy.open("late");
+    let _silent_claim = node.opened();
+    standing.push(proxy.connect("new", &node));
+    let mut times = Vec::new();
+    for (submitter, _) in &mut standing {
+        assert_eq!(submitter.line(), "MOVE\r\n");
+        assert_eq!(submitter.end(), (String::new(), false));
+        times.push(told.elapsed());
+    }
+    let answer = unanswered.line();
+    assert!(answer.starts_with("BUSY") || answer == "ERR\r\n", "{answer:?}");
+    assert!(proxy.exit().success());
+    assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
+    assert!(*times.last().unwrap() - times[0] > SECOND, "in a spread: {times:?}");
+}
+
+#[test]
+fn probes_ask_for_the_load_on_one_connection() {
+    let node = Node::new("n");
+    let settings = SETTINGS.replace("\"max-attempts\"", "\"may-probe\":true,\"max-attempts\"");
+    let proxy = Proxy::start_with("probes", 1024, &[node.entry("ready")], &settings);
+    let _submitter = proxy.open("k");
+    let (mut probe, line) = node.opened();
+    assert_eq!(line, "STATS\r\n");
+    probe.send("PONG x0=0.4,svc_ms=11.5\r\n");
+    let (_at_node, line) = node.opened();
+    assert!(line.starts_with("OPEN "), "{line}");
+    // A report is good for a second; the next job's probe comes over the connection that is there.
+    std::thread::sleep(SECOND);
+    let mut next = proxy.open("k2");
+    assert_eq!(probe.line(), "STATS\r\n");
+    probe.send("PONG x0=1.4,svc_ms=400\r\n");
+    assert!(next.line().starts_with("BUSY "), "a full node gets nothing");
+}
+
+#[test]
+fn too_many_submitters_are_refused_and_the_rest_are_served() {
+    let node = Node::new("n");
+    // Room for two jobs beside the descriptors that are kept.
+    let proxy = Proxy::start_with("limits", 100, &[node.entry("ready")], SETTINGS);
+    let mut standing: Vec<_> = (0..2).map(|i| proxy.connect(&format!("k{i}"), &node)).collect();
+    let mut third = proxy.submitter();
+    assert_eq!(third.line(), "BUSY 1000\r\n");
+    let (mut submitter, mut at_node) = standing.pop().unwrap();
+    at_node.send("BYE\r\n");
+    at_node.end_sending();
+    assert_eq!(submitter.end().0, "BYE\r\n");
+    drop((submitter, at_node));
+    // The place is free once the task has ended, a moment after the end was passed on.
+    let served = (0..100).any(|_| {
+        std::thread::sleep(Duration::from_millis(20));
+        let mut next = proxy.submitter();
+        next.send("PING\r\n");
+        next.line_within(LONG).is_some_and(|line| line == "PONG\r\n")
+    });
+    assert!(served);
+}
+
+#[test]
+fn a_bad_config_is_one_plain_line_and_code_2() {
+    let good = config(closed(), 1024, "", SETTINGS);
+    let bad = [
+        ("{", "config"),
+        (&good.replace("00000000000000a7", "seven"), "seed"),
+        (&good.replace("\"max-attempts\":4", "\"max-attempts\":0"), "max_attempts"),
+        (&good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\""), "listen"),
+        (&good.replace("\"classes\"", "\"glasses\""), "classes"),
+    ];
+    for (i, (text, names)) in bad.iter().enumerate() {
+        let path = config_file(&format!("bad{i}"), text);
+        for arguments in [vec!["serve"], vec!["check", path.to_str().unwrap()]] {
+            let output = program(&arguments).env("LB_CONFIG", &path).output().unwrap();
+            let said = String::from_utf8(output.stderr).unwrap();
+            assert_eq!(output.status.code(), Some(2), "{said}");
+            assert!(said.lines().count() == 1 && said.contains(names), "{said}");
+        }
+    }
+    let path = config_file("good", &good);
+    let output = program(&["check", path.to_str().unwrap()]).output().unwrap();
+    assert!(output.status.success() && output.stdout.starts_with(b"good"));
+    assert_eq!(program(&["serve"]).output().unwrap().status.code(), Some(2), "no config at all");
+    assert!(program(&["version"]).output().unwrap().stdout.starts_with(b"pierloom 0."));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -150,3 +150,53 @@
     assert!(warm_sends > 20, "{warm_sends}");
     assert!(cold_sends > 0 && cold_sends <= 60, "{cold_sends}");
 }
+
+/// Guards against a drained backend that stops under its clients: nothing moved them before.
+#[test]
+fn connections_on_a_backend_that_leaves_are_moved_in_rounds_once_each() {
+    for state in [MemberState::Draining, MemberState::Gone] {
+        let mut d = Driver::new(settings(), 2);
+        let by: Vec<(u64, BackendId)> = (1..=60).map(|id| (id, d.connect(id))).collect();
+        let mut leaving = members(2)[0].clone();
+        let there = by.iter().filter(|(_, backend)| *backend == leaving.backend).count();
+        leaving.state = state;
+        let mut out = d.list(ListKind::Delta, vec![leaving.clone()]);
+        let mut rounds = Vec::new();
+        let mut moved = std::collections::BTreeSet::new();
+        while let Some(Action::Timer(gap, token)) = out.iter().find(|a| matches!(a, Action::Timer(_, 3))) {
+            d.now += gap;
+            out = d.event(Event::Timer(*token));
+            let ids = out.iter().filter_map(|action| match action {
+                Action::Move(id) => Some(*id),
+                _ => None,
+            });
+            let ids: Vec<_> = ids.collect();
+            rounds.push(ids.len());
+            assert!(ids.iter().all(|&id| moved.insert(id) && by[id as usize - 1].1 == leaving.backend));
+        }
+        assert!(there > 20 && moved.len() == there, "{moved:?} of {there}");
+        assert!(rounds.len() > 10 && rounds.iter().all(|&n| n <= 3), "{rounds:?}");
+    }
+}
+
+/// Guards against moving on when the list takes its word back.
+#[test]
+fn a_backend_that_is_ready_again_keeps_its_connections() {
+    let mut d = Driver::new(settings(), 1);
+    (1..=5).for_each(|id| drop(d.connect(id)));
+    let mut member = members(1)[0].clone();
+    member.state = MemberState::Draining;
+    d.list(ListKind::Delta, vec![member.clone()]);
+    member.state = MemberState::Ready;
+    d.list(ListKind::Delta, vec![member]);
+    assert!(d.event(Event::Timer(3)).is_empty());
+}
+
+/// Guards against a client that waits for ever on a backend out of reach.
+#[test]
+fn a_connection_that_brings_nothing_back_is_moved() {
+    let mut d = Driver::new(settings(), 1);
+    d.connect(1);
+    assert!(d.event(Event::Noted(1, Note::Silent(S))).is_empty());
+    assert_eq!(d.event(Event::Noted(1, Note::Silent(4 * S))), [Action::Move(1)]);
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,321 @@
+//! Starts the real program and plays those round it: submitters, execute nodes and the machine list.
+//! Everything waits on events, with limits far beyond what a sound run needs.
+
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A wait that runs into this has failed.
+pub const LONG: Duration = Duration::from_secs(30);
+
+/// One end of a connection, by lines.
+pub struct Peer {
+    reader: BufReader<TcpStream>,
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Peer { reader: BufReader::new(stream) }
+    }
+
+    pub fn connect(address: SocketAddr) -> Self {
+        Peer::new(TcpStream::connect(address).unwrap())
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        self.reader.get_ref()
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.reader.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next line as it came, with its end; empty once the other side has ended.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).unwrap();
+        line
+    }
+
+    /// The next line, if it comes within that time.
+    pub fn line_within(&mut self, time: Duration) -> Option<String> {
+        self.stream().set_read_timeout(Some(time)).unwrap();
+        let mut line = String::new();
+        let read = self.reader.read_line(&mut line);
+        self.stream().set_read_timeout(Some(LONG)).unwrap();
+        read.ok().map(|_| line)
+    }
+
+    pub fn read(&mut self, bytes: usize) -> Vec<u8> {
+        let mut all = vec![0; bytes];
+        self.reader.read_exact(&mut all).unwrap();
+        all
+    }
+
+    /// Waits for the end; what came before it, and whether it was a reset.
+    pub fn end(&mut self) -> (String, bool) {
+        let mut rest = Vec::new();
+        let end = self.reader.read_to_end(&mut rest);
+        let reset = match end {
+            Ok(_) => false,
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => true,
+            Err(e) => panic!("neither an end nor a reset: {e}"),
+        };
+        (String::from_utf8(rest).unwrap(), reset)
+    }
+
+    pub fn end_sending(&self) {
+        self.stream().shutdown(std::net::Shutdown::Write).unwrap();
+    }
+
+    /// Breaks the connection.
+    pub fn reset(self) {
+        socket2::SockRef::from(self.stream()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+}
+
+/// An execute node: a listener whose connections wait to be taken.
+pub struct Node {
+    pub name: &'static str,
+    address: SocketAddr,
+    accepted: Receiver<TcpStream>,
+}
+
+impl Node {
+    pub fn new(name: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, accepted) = channel();
+        thread::spawn(move || listener.incoming().flatten().try_for_each(|stream| sender.send(stream)));
+        Node { name, address, accepted }
+    }
+
+    pub fn accept(&self) -> Peer {
+        Peer::new(self.accepted.recv_timeout(LONG).expect("a connection"))
+    }
+
+    /// Takes a connection and its first line.
+    pub fn opened(&self) -> (Peer, String) {
+        let mut peer = self.accept();
+        let line = peer.line();
+        (peer, line)
+    }
+
+    /// Takes a connection and its first line, if one is there.
+    pub fn try_opened(&self) -> Option<(Peer, String)> {
+        let mut peer = Peer::new(self.accepted.try_recv().ok()?);
+        let line = peer.line();
+        Some((peer, line))
+    }
+
+    /// Whether anything ever connected that was not taken.
+    pub fn untouched(&self) -> bool {
+        self.accepted.try_recv().is_err()
+    }
+
+    pub fn entry(&self, status: &str) -> String {
+        entry(self.name, self.address, status)
+    }
+}
+
+/// An entry of the machine list.
+pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"m","group":0,"status":"{status}","weight":1.0,"since_ms":0}}"#
+    )
+}
+
+/// What the machine list's service was asked, and on which of its connections.
+pub struct Call {
+    pub connection: usize,
+    pub from: u64,
+    pub at: Instant,
+}
+
+#[derive(Default)]
+struct Told {
+    index: u64,
+    news: VecDeque<(u64, String)>,
+    failures: u32,
+}
+
+/// The service of the machine list.
+pub struct MachineList {
+    address: SocketAddr,
+    told: Arc<(Mutex<Told>, Condvar)>,
+    pub calls: Receiver<Call>,
+}
+
+impl MachineList {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let told = Arc::new((Mutex::new(Told { index: 1, ..Told::default() }), Condvar::new()));
+        let (sender, calls) = channel();
+        let shared = told.clone();
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().flatten().enumerate() {
+                let (told, sender) = (shared.clone(), sender.clone());
+                thread::spawn(move || {
+                    let mut peer = Peer::new(stream);
+                    loop {
+                        let head = peer.line();
+                        while !peer.line().trim().is_empty() {}
+                        let Some(from) = head.split("from=").nth(1).and_then(|rest| rest.split('&').next())
+                        else {
+                            return;
+                        };
+                        let from = from.parse().unwrap();
+                        if sender.send(Call { connection, from, at: Instant::now() }).is_err() {
+                            return;
+                        }
+                        peer.send(&answer(&told, from));
+                    }
+                });
+            }
+        });
+        MachineList { address, told, calls }
+    }
+
+    /// Tells a change to whoever watches.
+    pub fn tell(&self, entry: &str) {
+        let mut told = self.told.0.lock().unwrap();
+        told.index += 1;
+        let index = told.index;
+        told.news.push_back((index, entry.to_string()));
+        self.told.1.notify_all();
+    }
+
+    /// Ends the call that waits and fails as many more as it takes to make this number.
+    pub fn fail(&self, calls: u32) {
+        self.told.0.lock().unwrap().failures = calls;
+        self.told.1.notify_all();
+    }
+}
+
+fn answer(told: &(Mutex<Told>, Condvar), from: u64) -> String {
+    let still = |told: &mut Told| told.index <= from && told.failures == 0;
+    let mut state = told.1.wait_timeout_while(told.0.lock().unwrap(), LONG, still).unwrap().0;
+    if state.failures > 0 {
+        state.failures -= 1;
+        return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".into();
+    }
+    let news = state.news.iter().filter(|(index, _)| *index > from).map(|(_, entry)| entry.as_str());
+    let entries = news.collect::<Vec<_>>().join(",");
+    let body = format!(r#"{{"index":{},"snapshot":false,"endpoints":[{entries}]}}"#, state.index);
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// The settings of these tests; `bounds` may say more.
+pub const SETTINGS: &str = r#"{"balancers":1,"zone":"a","zones":["a"],"membership-mode":"ask","weights":"nominal",
+ "bounds":{"max-attempts":4,"connect-timeout":0.2,"retry-after":true,"max-retry-after":2.0},
+ "classes":[{"name":"feed","target":0.8,"deadline":4.8,"effect":"repeatable","group":"all"}],
+ "feedback":{"columns":["x0","svc_ms"],"how":"probe"},
+ "family-info":{"groups":true,"message-aim":[0.06]}}"#;
+
+/// The program, and a folder for its config.
+pub struct Proxy {
+    child: Child,
+    pub address: SocketAddr,
+    pub list: MachineList,
+    log: Receiver<String>,
+    folder: std::path::PathBuf,
+}
+
+/// A command for the program that sees nothing of this process's variables for it.
+pub fn program(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pierloom"));
+    for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"] {
+        command.env_remove(name);
+    }
+    command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+/// Writes a config into a folder of its own, made anew.
+pub fn config_file(name: &str, text: &str) -> std::path::PathBuf {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("config.json");
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+pub fn config(discovery: SocketAddr, sockets: u32, entries: &str, settings: &str) -> String {
+    format!(
+        r#"{{"name":"p0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"00000000000000a7",
+ "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+ "known":{{"index":1,"snapshot":true,"endpoints":[{entries}]}},"settings":{settings}}}"#
+    )
+}
+
+impl Proxy {
+    /// Starts with these execute nodes on its list.
+    pub fn start(name: &str, nodes: &[&Node]) -> Self {
+        let entries: Vec<String> = nodes.iter().map(|node| node.entry("ready")).collect();
+        Proxy::start_with(name, 1024, &entries, SETTINGS)
+    }
+
+    pub fn start_with(name: &str, sockets: u32, entries: &[String], settings: &str) -> Self {
+        let list = MachineList::new();
+        let path = config_file(name, &config(list.address, sockets, &entries.join(","), settings));
+        let mut child = program(&["serve"]).env("LB_CONFIG", &path).spawn().unwrap();
+        let (sender, log) = channel();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        let first: String = log.recv_timeout(LONG).expect("a line that names the address");
+        let address = first.rsplit(' ').next().unwrap().parse().expect(&first);
+        Proxy { child, address, list, log, folder: path.parent().unwrap().to_path_buf() }
+    }
+
+    pub fn submitter(&self) -> Peer {
+        Peer::connect(self.address)
+    }
+
+    /// Opens a job with that key.
+    pub fn open(&self, key: &str) -> Peer {
+        let mut peer = self.submitter();
+        peer.send(&format!("OPEN 0a {key} c=feed,d=4800\r\n"));
+        peer
+    }
+
+    /// Opens a job and has the execute node say that it is up.
+    pub fn connect(&self, key: &str, node: &Node) -> (Peer, Peer) {
+        let mut submitter = self.open(key);
+        let (mut at_node, _) = node.opened();
+        at_node.send("UP r1\r\n");
+        assert_eq!(submitter.line(), "UP r1\r\n");
+        (submitter, at_node)
+    }
+
+    pub fn terminate(&self) {
+        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        assert!(status.success());
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        // Its log ends with the process.
+        loop {
+            match self.log.recv_timeout(LONG) {
+                Ok(_) => {}
+                Err(RecvTimeoutError::Disconnected) => return self.child.wait().unwrap(),
+                Err(RecvTimeoutError::Timeout) => panic!("the program does not exit"),
+            }
+        }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
