Watch backends by probes where no note tells that messages are slow

Ruled out: a wrong unit of LOAD, a late list, CPU.

Backends that hold four of our connections are probed each second, each third second while roomy; a slow report counts as a note would, unless notes came lately.

--- a/src/api.rs
+++ b/src/api.rs
@@ -92,6 +92,8 @@
     pub may_probe: bool,
     /// Backends may be probed, and this value of their report is the load asked of them over what they can do.
     pub load_report: Option<usize>,
+    /// This value of their report is the time that a message takes there; milliseconds.
+    pub delay_report: Option<usize>,
     /// A started backend takes at least this share of its capacity at first.
     pub cold_from: f64,
     /// A started backend is warm after this time.
@@ -130,6 +132,7 @@
             groups: false,
             may_probe: false,
             load_report: None,
+            delay_report: None,
             cold_from: 0.2,
             cold: 20_000_000,
             cross_zone_price: 0.0,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -72,11 +72,15 @@
 const CALL: Micros = 20_000;
 /// A connection whose message is unanswered this long is moved: some rounds of messages; microseconds.
 const SILENCE: Micros = 4_000_000;
-/// Timer tokens: the learning tick, a look at the held requests, a renewed subscription, a round of moves.
+/// Timer tokens: the learning tick, a look at the held requests, a renewed subscription, a round of moves,
+/// a round of watching probes.
 const TICK: u64 = 0;
 const HOLD: u64 = 1;
 const ASK: u64 = 2;
 const EMPTY: u64 = 3;
+const WATCH: u64 = 4;
+/// Gap between probes of a backend that we watch and that was roomy; microseconds, some of its reports' lives.
+const WATCH_GAP: Micros = 3_000_000;
 /// Gap between rounds of moves off backends that leave; microseconds.
 const EMPTY_GAP: Micros = 100_000;
 /// Part of them moved in a round, one at least: most are away within two seconds, and not all at once.
@@ -205,6 +209,9 @@
             self.started = Some(now);
             self.admission.tick_at = now;
             out.push(Action::Timer(self.admission.tick, TICK));
+            if self.settings.delay_report.is_some() {
+                out.push(Action::Timer(PACE, WATCH));
+            }
             self.ask(out);
         }
         match event {
@@ -227,6 +234,7 @@
                 self.placed.retain(|_, at| *at + memory > now);
                 out.push(Action::Timer(self.admission.tick, TICK));
             }
+            Event::Timer(WATCH) => self.watch(now, out),
             Event::Timer(EMPTY) => self.move_off(out),
             Event::Timer(HOLD) => self.retry_held(now, false, out),
             Event::Timer(ASK) if self.asking => {
@@ -234,7 +242,12 @@
                 out.push(Action::Subscribe);
             }
             Event::Noted(id, Note::Load(load)) => self.rebook(id, load),
-            Event::Noted(id, Note::Delay(delay)) => self.on_delay(now, id, delay, out),
+            Event::Noted(id, Note::Delay(delay)) => {
+                self.noted_at = now;
+                if let Some((i, ..)) = self.works.get(&id).and_then(|work| work.out) {
+                    self.on_delay(now, i, delay, out);
+                }
+            }
             // Exception "silent": guards against a client left waiting on a backend out of reach.
             Event::Noted(id, Note::Silent(since)) if since >= SILENCE => out.push(Action::Move(id)),
             Event::Noted(..) => {}
@@ -584,9 +597,38 @@
         } else if !backend.standing.is_empty() {
             self.vain_probes += 1;
         }
+        let delay = self.settings.delay_report.and_then(|column| report.get(column).copied());
+        if let Some(delay) = delay.filter(|_| answered && !self.notes_tell(now)) {
+            self.on_delay(now, i, (delay.max(0.0) * 1e3) as Micros, out);
+        }
         self.retry_held(now, true, out);
     }
 
+    /// Exception "watch": guards against a backend that grows slow under its connections where no note tells
+    /// of it. Those we hold enough connections at are probed on, soon again where they were not roomy, and
+    /// the reported delay counts as a note's would.
+    fn watch(&mut self, now: Micros, out: &mut Vec<Action>) {
+        out.push(Action::Timer(PACE, WATCH));
+        if self.notes_tell(now) {
+            return;
+        }
+        let known: Vec<usize> = self.known.iter().copied().filter(|&i| !self.suspect(i, now)).collect();
+        for i in known {
+            let backend = &mut self.backends[i];
+            let roomy = backend.report(now, WATCH_GAP).flatten().is_some_and(|load| load < ROOMY);
+            let due_at = backend.probed_at + if roomy { WATCH_GAP } else { PACE };
+            if backend.standing.len() >= ENOUGH as usize && due_at <= now {
+                backend.probed_at = now;
+                out.push(Action::Probe(backend.member.backend.clone()));
+            }
+        }
+    }
+
+    /// Whether notes told lately how long messages take; they are fresher than reports.
+    fn notes_tell(&self, now: Micros) -> bool {
+        self.noted_at > 0 && now < self.noted_at + SLOW_MEMORY
+    }
+
     /// Exception "strain": whether most backends that we hold connections at are slow, beyond chance. Guards
     /// against passing clients on among backends that are all too full: the unknown are presumed slow then.
     fn strained(&mut self, now: Micros) -> bool {
@@ -638,8 +680,7 @@
 
     /// Exception "slow backend": guards against filling a backend whose messages are late already, and
     /// moves one connection away: to where there is room, or to wait while the whole fleet is slow.
-    fn on_delay(&mut self, now: Micros, id: RequestId, delay: Micros, out: &mut Vec<Action>) {
-        let Some((i, ..)) = self.works.get(&id).and_then(|work| work.out) else { return };
+    fn on_delay(&mut self, now: Micros, i: usize, delay: Micros, out: &mut Vec<Action>) {
         let aims = self.settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0);
         let slow = SLOW_PART * aims.min().unwrap_or(0) as f64;
         if delay as f64 <= slow {
--- a/src/state.rs
+++ b/src/state.rs
@@ -275,6 +275,8 @@
     pub(crate) held: Vec<RequestId>,
     /// Standing connections to be moved off backends that leave, in order.
     pub(crate) leaving: VecDeque<RequestId>,
+    /// When a note last told how long messages take somewhere.
+    pub(crate) noted_at: Micros,
     /// Backends that were slow lately.
     pub(crate) slow: BTreeSet<usize>,
     /// Backends that we hold standing connections at.
@@ -495,6 +497,7 @@
             set_ups: 0,
             held: Vec::new(),
             leaving: VecDeque::new(),
+            noted_at: 0,
             slow: BTreeSet::new(),
             known: BTreeSet::new(),
             accepted: VecDeque::new(),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -236,6 +236,8 @@
         span: contract.ratio_span.map_or(BUDGET_SPAN, micros),
     });
     let or = |value: Option<f64>, default: Micros| value.map_or(default, micros);
+    let column =
+        |name: &str| wire.feedback.columns.iter().position(|c| c == name).filter(|_| wire.bounds.may_probe);
     let settings = Settings {
         relays: wire.balancers,
         zone,
@@ -252,7 +254,8 @@
         live_weights: wire.weights == "live",
         groups: wire.family_info.groups,
         may_probe: wire.bounds.may_probe,
-        load_report: wire.feedback.columns.iter().position(|c| c == "x0").filter(|_| wire.bounds.may_probe),
+        load_report: column("x0"),
+        delay_report: column("svc_ms"),
         cold_from: wire.contract.cold_from.unwrap_or(base.cold_from),
         cold: or(wire.contract.cold, base.cold),
         fall_multiple: wire.contract.fall_multiple.unwrap_or(base.fall_multiple),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -539,3 +539,37 @@
     }
     assert!(sends <= 25, "{sends} of 50");
 }
+
+/// Guards against a fleet that overfills where no note tells of it: real sockets brought no slow note on a
+/// day of strain, and nobody was ever moved off a full backend.
+#[test]
+fn without_notes_watched_backends_tell_by_their_reports_that_they_are_slow() {
+    let s = Settings { may_probe: true, load_report: Some(0), delay_report: Some(1), ..settings() };
+    let mut d = Driver::new(s, 1);
+    let backend = members(1)[0].backend.clone();
+    let tell = |d: &mut Driver, load: f64, delay: f64| {
+        let report = vec![load, delay];
+        d.event(Event::Probed { backend: backend.clone(), status: Status::Ok, report })
+    };
+    for id in 0..12 {
+        d.request(id);
+        tell(&mut d, 0.3, 20.0);
+        d.established(id, 0, 20 * MS);
+    }
+    let watch = |d: &mut Driver| {
+        d.now += S;
+        !probed(&d.event(Event::Timer(4))).is_empty()
+    };
+    let probes = (0..6).filter(|_| {
+        let asked = watch(&mut d);
+        asked && tell(&mut d, 0.3, 20.0).is_empty()
+    });
+    assert_eq!(probes.count(), 2, "a roomy one is asked every third second");
+    let moves = (0..20).filter(|_| {
+        watch(&mut d);
+        tell(&mut d, 1.2, 300.0).iter().any(|a| matches!(a, Action::Move(_)))
+    });
+    assert!(moves.count() > 10, "a slow one is asked each second and eased");
+    d.event(Event::Noted(1, Note::Delay(10 * MS)));
+    assert!(!watch(&mut d) && tell(&mut d, 1.2, 300.0).is_empty(), "notes are fresher");
+}
