--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,7 +79,7 @@
 const ASK: u64 = 2;
 const EMPTY: u64 = 3;
 const WATCH: u64 = 4;
-/// Gap between probes of a backend that we watch and that was roomy; microseconds, some of its reports' lives.
+/// Gap between probes of a watched backend that was roomy: some of its reports' lives; microseconds.
 const WATCH_GAP: Micros = 3_000_000;
 /// Gap between rounds of moves off backends that leave; microseconds.
 const EMPTY_GAP: Micros = 100_000;
