--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,8 +70,8 @@
 const SAVED_WINDOWS: f64 = 8.0;
 /// Time of the list service that one relay's call may take when all relays call; microseconds.
 const CALL: Micros = 20_000;
-/// A connection whose message is unanswered this long is moved: some rounds of messages; microseconds.
-const SILENCE: Micros = 4_000_000;
+/// A connection whose message is unanswered this long is moved: no message is worth that wait; microseconds.
+const SILENCE: Micros = 3_000_000;
 /// Timer tokens: the learning tick, a look at the held requests, a renewed subscription, a round of moves,
 /// a round of watching probes.
 const TICK: u64 = 0;
--- a/src/net/claim.rs
+++ b/src/net/claim.rs
@@ -70,15 +70,17 @@
 pub async fn attempt(
     core: &Core,
     front: &dyn Front,
-    node: SocketAddr,
+    node: Option<SocketAddr>,
     opening: &[u8],
     until: Micros,
 ) -> Result<Link, Ending> {
     let connect_until = until.min(core.now() + core.settings().connect_timeout);
-    let broken = |reach, cause| Ending { reach, cause };
+    let ending = |reach, cause| Ending { reach, cause };
+    // A machine without an address cannot be connected to.
+    let node = node.ok_or_else(|| ending(Reach::NotConnected, Cause::Broke))?;
     let stream = tokio::select! {
-        stream = TcpStream::connect(node) => stream.map_err(|_| broken(Reach::NotConnected, Cause::Broke))?,
-        () = core.deadlines.until(connect_until) => return Err(broken(Reach::NotConnected, Cause::Late)),
+        stream = TcpStream::connect(node) => stream.map_err(|_| ending(Reach::NotConnected, Cause::Broke))?,
+        () = core.deadlines.until(connect_until) => return Err(ending(Reach::NotConnected, Cause::Late)),
     };
     let mut reach = Reach::Unwritten;
     let answer = async {
@@ -91,10 +93,10 @@
         answer = answer => answer.map_err(|_: io::Error| Cause::Broke),
         () = core.deadlines.until(until) => Err(Cause::Late),
     };
-    let received = answer.map_err(|cause| broken(reach, cause))?;
+    let received = answer.map_err(|cause| ending(reach, cause))?;
     match front.reply(first_line(&received)) {
         Reply::Up => Ok(Link { stream, received }),
-        said => Err(broken(reach, Cause::Said(said))),
+        said => Err(ending(reach, Cause::Said(said))),
     }
 }
 
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -5,6 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -208,6 +209,9 @@
     /// The attempt that is out has ended.
     pub fn end(&mut self, status: Status) {
         let Some(sent) = self.out.take() else { return };
+        if let Some(job) = self.core.jobs.borrow_mut().get_mut(&self.id) {
+            job.standing = false;
+        }
         let (now, closed) = (self.core.now(), self.answered);
         let attempt = self.attempts - 1;
         let ended = Ended { id: self.id, attempt, status, latency: now - sent, closed };
@@ -226,10 +230,15 @@
         if self.core.jobs.borrow().is_empty() {
             self.core.idle.notify_waiters();
         }
-        if !self.answered {
-            self.answered = true;
-            self.core.tell(Event::ClientGone(self.id));
+        let settle = AssertUnwindSafe(|| {
+            if !std::mem::replace(&mut self.answered, true) {
+                self.core.tell(Event::ClientGone(self.id));
+            }
+            self.end(Status::Cancelled);
+        });
+        // A panic that unwinds this job must meet no second one here, which would end the process.
+        if catch_unwind(settle).is_err() {
+            eprintln!("job {}: a panic while it was settled", self.id);
         }
-        self.end(Status::Cancelled);
     }
 }
--- a/src/net/job.rs
+++ b/src/net/job.rs
@@ -4,7 +4,7 @@
 use super::core::{Core, Order, Seat};
 use super::platform::{Front, Opening};
 use super::relay;
-use pierloom::{BackendId, Event, Micros, Request};
+use pierloom::{BackendId, Event, Micros, Request, Status};
 use std::rc::Rc;
 use tokio::net::TcpStream;
 
@@ -38,15 +38,19 @@
             Order::Claim { node, until } => {
                 seat.begin();
                 let line = opening.for_node(until.saturating_sub(core.now()));
-                // A machine that has no address cannot be connected to.
-                let address = core.address(&node).unwrap_or(([127, 0, 0, 1], 0).into());
                 let attempt = tokio::select! {
                     biased;
-                    attempt = claim::attempt(&core, &*front, address, &line, until) => attempt,
+                    attempt = claim::attempt(&core, &*front, core.address(&node), &line, until) => attempt,
                     () = left(&submitter, &mut early) => return,
                 };
                 match attempt {
                     Ok(link) => break Some((link, node)),
+                    // Served to its end before it was up: that is the answer, and no try follows.
+                    Err(ending) if ending.status() == Status::Ok => {
+                        seat.answered();
+                        seat.end(Status::Ok);
+                        return relay::answer(&core, submitter, front.served()).await;
+                    }
                     Err(ending) => seat.end(ending.status()),
                 }
             }
@@ -85,22 +89,16 @@
     let (until, mut early) = (core.now() + RESUME, Vec::new());
     let line = opening.for_node(RESUME);
     let link: Link = loop {
-        let attempt = async {
-            match core.address(&node) {
-                Some(address) => claim::attempt(core, front, address, &line, until).await.ok(),
-                None => None,
-            }
-        };
         let attempt = tokio::select! {
-            attempt = attempt => attempt,
+            attempt = claim::attempt(core, front, core.address(&node), &line, until) => attempt,
             () = left(&submitter, &mut early) => return,
         };
         match attempt {
-            Some(link) => break link,
-            None if core.now() + RESUME_GAP > until => {
+            Ok(link) => break link,
+            Err(_) if core.now() + RESUME_GAP > until => {
                 return relay::answer(core, submitter, &front.failure()).await;
             }
-            None => core.deadlines.until(core.now() + RESUME_GAP).await,
+            Err(_) => core.deadlines.until(core.now() + RESUME_GAP).await,
         }
     };
     seat.begin();
--- a/src/net/machine_list.rs
+++ b/src/net/machine_list.rs
@@ -17,6 +17,8 @@
 const HOLD_MS: u64 = 10_000;
 /// What a call may take beyond that: discovery gives up on a queued one after three seconds; microseconds.
 const SLACK: Micros = 3_500_000;
+/// A connection to discovery takes no longer than this; microseconds.
+const CONNECT: Micros = 1_000_000;
 /// Largest list that is read: thousands of machines; bytes.
 const MOST: usize = 4 << 20;
 
@@ -91,8 +93,11 @@
 
 type Sender = SendRequest<Empty<Bytes>>;
 
-async fn connect(discovery: SocketAddr) -> Result<Sender, String> {
-    let stream = TcpStream::connect(discovery).await.map_err(|e| e.to_string())?;
+async fn connect(core: &Core, discovery: SocketAddr) -> Result<Sender, String> {
+    let stream = tokio::select! {
+        stream = TcpStream::connect(discovery) => stream.map_err(|e| e.to_string())?,
+        () = core.deadlines.until(core.now() + CONNECT) => return Err("no connection".to_string()),
+    };
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
     tokio::task::spawn_local(connection);
@@ -100,10 +105,15 @@
 }
 
 /// One watch call on the kept connection, or on a new one.
-async fn call(kept: &mut Option<Sender>, discovery: SocketAddr, index: u64) -> Result<List, String> {
+async fn call(
+    core: &Core,
+    kept: &mut Option<Sender>,
+    discovery: SocketAddr,
+    index: u64,
+) -> Result<List, String> {
     let mut sender = match kept.take().filter(|sender| !sender.is_closed()) {
         Some(sender) => sender,
-        None => connect(discovery).await?,
+        None => connect(core, discovery).await?,
     };
     sender.ready().await.map_err(|e| e.to_string())?;
     let request = hyper::Request::get(format!("/api/targets?from={index}&hold_ms={HOLD_MS}"))
@@ -129,7 +139,7 @@
         loop {
             let limit = core.now() + HOLD_MS * 1_000 + SLACK;
             let answer = tokio::select! {
-                answer = call(&mut kept, discovery, index) => answer,
+                answer = call(&core, &mut kept, discovery, index) => answer,
                 () = core.deadlines.until(limit) => Err("no answer".to_string()),
             };
             match answer {
--- a/src/net/platform/lines.rs
+++ b/src/net/platform/lines.rs
@@ -182,6 +182,10 @@
         b"ERR\r\n".to_vec()
     }
 
+    fn served(&self) -> &'static [u8] {
+        b"BYE\r\n"
+    }
+
     fn farewell(&self) -> &'static [u8] {
         b"MOVE\r\n"
     }
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -43,6 +43,8 @@
     fn refusal(&self, wait: Option<Micros>) -> Vec<u8>;
     /// The answer 'failed'.
     fn failure(&self) -> Vec<u8>;
+    /// The answer 'served to its end already'.
+    fn served(&self) -> &'static [u8];
     /// Sends a submitter away whose connection stands.
     fn farewell(&self) -> &'static [u8];
 }
@@ -73,6 +75,10 @@
 const RESERVED: usize = 96;
 /// Descriptors of one job: both sides.
 const PER_JOB: usize = 2;
+/// Submitters beyond that are heard and refused, this many at once; more still are refused unheard.
+const REFUSED: usize = 48;
+/// How long one that finds no room is told to stay away: some jobs end meanwhile; microseconds.
+const NO_ROOM: Micros = 1_000_000;
 /// A first line has this long to come; microseconds.
 const FIRST_LINE: Micros = 5_000_000;
 /// Pause after an accept that failed; microseconds.
@@ -110,13 +116,17 @@
         let open = Rc::new(());
         loop {
             match self.listener.accept().await {
-                Ok((stream, _)) if Rc::strong_count(&open) > self.most => {
-                    refuse(&stream, &*front);
-                }
                 Ok((stream, _)) => {
+                    // Each task holds a count of `open`, beside the one here.
+                    let others = Rc::strong_count(&open) - 1;
+                    if others >= self.most + REFUSED {
+                        refuse(&stream, &*front);
+                        continue;
+                    }
+                    let room = others < self.most;
                     let (core, front, place) = (core.clone(), front.clone(), open.clone());
                     spawn_local(async move {
-                        submitter(core, front, stream).await;
+                        submitter(core, front, stream, room).await;
                         drop(place);
                     });
                 }
@@ -145,10 +155,11 @@
 /// Says that there is no room, without waiting.
 fn refuse(stream: &TcpStream, front: &dyn Front) {
     // A fresh connection has room for a line; one that is broken needs none.
-    let _ = stream.try_write(&front.refusal(Some(1_000_000)));
+    let _ = stream.try_write(&front.refusal(Some(NO_ROOM)));
 }
 
-async fn submitter(core: Rc<Core>, front: Rc<dyn Front>, stream: TcpStream) {
+/// Serves a submitter; where there is no room for a job, the answer says so.
+async fn submitter(core: Rc<Core>, front: Rc<dyn Front>, stream: TcpStream, room: bool) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -170,6 +181,9 @@
         let whole = line <= LONGEST_LINE && received[..line].ends_with(b"\r\n");
         let first = if whole { front.first(first_line(&received)) } else { First::Malformed };
         match first {
+            First::Job(_) if !room => {
+                return relay::answer(&core, stream, &front.refusal(Some(NO_ROOM))).await;
+            }
             First::Job(opening) => return job::run(core, front, stream, opening).await,
             First::Answer(answer) => {
                 received.drain(..line);
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -15,8 +15,8 @@
 /// Before the kill, all moves are under way this early, and the process ends this early; microseconds.
 const MOVED_EARLY: Micros = 1_100_000;
 const ENDED_EARLY: Micros = 250_000;
-/// Moves go out in steps of this; microseconds.
-const STEP: Micros = 50_000;
+/// Moves go out no closer than this, several at once where they are many; microseconds.
+const STEP: Micros = 20_000;
 
 /// Waits for SIGTERM and serves the rest of the process's life.
 pub async fn on_sigterm(core: Rc<Core>) -> io::Result<()> {
@@ -27,11 +27,12 @@
     let last_move = kill.saturating_sub(MOVED_EARLY).max(told);
     core.deadlines.until(told + STILL_COMING.min(kill - told)).await;
     while core.now() < last_move {
-        let steps = (last_move - core.now()).div_ceil(STEP).max(1);
-        let standing = core.standing();
-        let share = standing.len().div_ceil(steps as usize);
+        let (left, standing) = (last_move - core.now(), core.standing());
+        // One at a time where that spreads them over what is left, more where they are many.
+        let gap = (left / (standing.len() as Micros + 1)).max(STEP);
+        let share = (standing.len() as Micros * gap).div_ceil(left) as usize;
         standing.into_iter().take(share).for_each(|id| core.order(id, Order::Move));
-        core.deadlines.until(core.now() + STEP).await;
+        core.deadlines.until((core.now() + gap).min(last_move)).await;
     }
     // Whoever is not served by now is free to go elsewhere while there is time.
     core.waiting().into_iter().for_each(|id| core.order(id, Order::Refuse(None)));
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -280,21 +280,48 @@
     // Room for two jobs beside the descriptors that are kept.
     let proxy = Proxy::start_with("limits", 100, &[node.entry("ready")], SETTINGS);
     let mut standing: Vec<_> = (0..2).map(|i| proxy.connect(&format!("k{i}"), &node)).collect();
-    let mut third = proxy.submitter();
+    let mut third = proxy.open("k3");
     assert_eq!(third.line(), "BUSY 1000\r\n");
+    assert_eq!(third.end(), (String::new(), false));
     let (mut submitter, mut at_node) = standing.pop().unwrap();
     at_node.send("BYE\r\n");
     at_node.end_sending();
     assert_eq!(submitter.end().0, "BYE\r\n");
     drop((submitter, at_node));
     // The place is free once the task has ended, a moment after the end was passed on.
-    let served = (0..100).any(|_| {
-        std::thread::sleep(Duration::from_millis(20));
-        let mut next = proxy.submitter();
-        next.send("PING\r\n");
-        next.line_within(LONG).is_some_and(|line| line == "PONG\r\n")
-    });
-    assert!(served);
+    let start = Instant::now();
+    while start.elapsed() < LONG {
+        let mut next = proxy.open("k4");
+        if let Some(line) = next.line_within(Duration::from_millis(50)) {
+            assert_eq!(line, "BUSY 1000\r\n");
+        } else {
+            return node.opened().0.send("UP r\r\n");
+        }
+    }
+    panic!("the place is never free");
+}
+
+#[test]
+fn a_proxy_out_of_descriptors_survives_and_serves_again() {
+    let node = Node::new("n");
+    // The config promises far more than the process is given.
+    let proxy = Proxy::start_limited("descriptors", 24, &[node.entry("ready")]);
+    let crowd: Vec<Peer> = (0..40).map(|_| proxy.submitter()).collect();
+    // Some of them were let in just to be told.
+    let told = crowd.into_iter().filter_map(|mut peer| peer.line_within(Duration::from_millis(100)));
+    assert!(told.into_iter().any(|line| line == "BUSY 1000\r\n"));
+    proxy.connect("k", &node);
+}
+
+#[test]
+fn a_job_served_before_it_was_up_is_not_tried_again() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("bye", &[&node]);
+    let mut submitter = proxy.open("k");
+    let (mut at_node, _) = node.opened();
+    at_node.send("BYE\r\n");
+    assert_eq!(submitter.end(), ("BYE\r\n".into(), false));
+    assert!(node.untouched());
 }
 
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -262,10 +262,28 @@
         Proxy::start_with(name, 1024, &entries, SETTINGS)
     }
 
+    /// Starts with so many descriptors, whatever its config says.
+    pub fn start_limited(name: &str, descriptors: u32, entries: &[String]) -> Self {
+        let mut shell = Command::new("sh");
+        shell.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\" serve")]);
+        shell.arg(env!("CARGO_BIN_EXE_pierloom")).stderr(Stdio::piped());
+        Proxy::start_command(shell, name, 1024, entries, SETTINGS)
+    }
+
     pub fn start_with(name: &str, sockets: u32, entries: &[String], settings: &str) -> Self {
+        Proxy::start_command(program(&["serve"]), name, sockets, entries, settings)
+    }
+
+    fn start_command(
+        mut command: Command,
+        name: &str,
+        sockets: u32,
+        entries: &[String],
+        settings: &str,
+    ) -> Self {
         let list = MachineList::new();
         let path = config_file(name, &config(list.address, sockets, &entries.join(","), settings));
-        let mut child = program(&["serve"]).env("LB_CONFIG", &path).spawn().unwrap();
+        let mut child = command.env("LB_CONFIG", &path).spawn().unwrap();
         let (sender, log) = channel();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
