--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -179,20 +179,23 @@
     fn look_at(&self) -> Micros {
         let silent = if self.waiting.is_empty() { Micros::MAX } else { self.next_silent };
         let ending = self.ended_at.map_or(Micros::MAX, |at| at + ENDING);
-        let half_line = self.move_wanted.map_or(Micros::MAX, |at| at + HALF_LINE);
+        // An ending needs no move: a deadline of one that has passed would be looked at again and again.
+        let moving = self.move_wanted.filter(|_| self.ended_at.is_none());
+        let half_line = moving.map_or(Micros::MAX, |at| at + HALF_LINE);
         silent.min(ending).min(half_line)
     }
 
     /// Passes on what is there, both ways; an error is a reset of that side.
     fn pass(&mut self, submitter: &TcpStream, node: &TcpStream) -> Result<(), Broke> {
-        if self.up.read(submitter).map_err(|_| Broke::Submitter)? > 0 {
-            self.went_up();
-        }
-        self.up.write(node).map_err(|_| Broke::Node)?;
+        // Down first: what an execute node said before it closed is still there to read, and a write to it fails.
         if self.down.read(node).map_err(|_| Broke::Node)? > 0 {
             self.went_down();
         }
-        self.down.write(submitter).map_err(|_| Broke::Submitter)
+        self.down.write(submitter).map_err(|_| Broke::Submitter)?;
+        if self.up.read(submitter).map_err(|_| Broke::Submitter)? > 0 {
+            self.went_up();
+        }
+        self.up.write(node).map_err(|_| Broke::Node)
     }
 
     /// Why the claim ended, once one side has.
