Take set-up waits and empty reports as signs where no note tells

A trace showed first reports of no load at all, taken as roomy, so full backends were not asked again for 3 s. Ruled out: CPU (0.02 s in the worst second), descriptors, the machine list, the way to the first attempt.

What late reports still cost is the largest loss left.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,6 +70,8 @@
 const SAVED_WINDOWS: f64 = 8.0;
 /// Time of the list service that one relay's call may take when all relays call; microseconds.
 const CALL: Micros = 20_000;
+/// A set-up's wait counts as a message's delay divided by this: its own work and pauses scatter; no unit.
+const SET_UP_SCATTER: u64 = 2;
 /// A connection whose message is unanswered this long is moved: no message is worth that wait; microseconds.
 const SILENCE: Micros = 3_000_000;
 /// Timer tokens: the learning tick, a look at the held requests, a renewed subscription, a round of moves,
@@ -220,9 +222,12 @@
             Event::Open(request, backend) => self.open(now, request, &backend),
             Event::Established { id, attempt, latency } => {
                 if let Some((i, request)) = self.establish(now, id, attempt) {
-                    self.set_ups += 1;
                     self.learn(&request, latency);
                     self.succeeded(i, now);
+                    let waited = self.set_up(i, latency);
+                    if self.reports_tell(now) {
+                        self.on_delay(now, i, waited / SET_UP_SCATTER, out);
+                    }
                     self.clear_out(i, out);
                 }
             }
@@ -598,7 +603,7 @@
             self.vain_probes += 1;
         }
         let delay = self.settings.delay_report.and_then(|column| report.get(column).copied());
-        if let Some(delay) = delay.filter(|_| answered && !self.notes_tell(now)) {
+        if let Some(delay) = delay.filter(|_| answered && self.reports_tell(now)) {
             self.on_delay(now, i, (delay.max(0.0) * 1e3) as Micros, out);
         }
         self.retry_held(now, true, out);
@@ -609,13 +614,15 @@
     /// the reported delay counts as a note's would.
     fn watch(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::Timer(PACE, WATCH));
-        if self.notes_tell(now) {
+        if !self.reports_tell(now) {
             return;
         }
         let known: Vec<usize> = self.known.iter().copied().filter(|&i| !self.suspect(i, now)).collect();
         for i in known {
             let backend = &mut self.backends[i];
-            let roomy = backend.report(now, WATCH_GAP).flatten().is_some_and(|load| load < ROOMY);
+            // A report of no load at all is older than the connections there.
+            let roomy = |load| 0.0 < load && load < ROOMY;
+            let roomy = backend.report(now, WATCH_GAP).flatten().is_some_and(roomy);
             let due_at = backend.probed_at + if roomy { WATCH_GAP } else { PACE };
             if backend.standing.len() >= ENOUGH as usize && due_at <= now {
                 backend.probed_at = now;
@@ -624,9 +631,9 @@
         }
     }
 
-    /// Whether notes told lately how long messages take; they are fresher than reports.
-    fn notes_tell(&self, now: Micros) -> bool {
-        self.noted_at > 0 && now < self.noted_at + SLOW_MEMORY
+    /// Whether reports have to tell how long messages take: no note did lately, which would be fresher.
+    fn reports_tell(&self, now: Micros) -> bool {
+        self.settings.delay_report.is_some() && (self.noted_at == 0 || now >= self.noted_at + SLOW_MEMORY)
     }
 
     /// Exception "strain": whether most backends that we hold connections at are slow, beyond chance. Guards
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,8 @@
     pub asked: u32,
     /// Seen draining and not listed ready since.
     pub drained: bool,
+    /// The quickest set-up there: what is left of a set-up without waiting.
+    pub least_set_up: Micros,
     /// When the list withdrew it; in the far future while ready.
     pub withdrawn_at: Micros,
     /// Every connection of ours there broke, the last one too, and none was made since.
@@ -60,6 +62,7 @@
             unproven: false,
             asked: 0,
             drained: false,
+            least_set_up: Micros::MAX,
             withdrawn_at: Micros::MAX,
             lost: false,
             started: 0,
@@ -420,6 +423,14 @@
         self.book(i, Some(load), true);
     }
 
+    /// Enters how long a set-up took at a backend; the part of it that the quickest one did not take.
+    pub(crate) fn set_up(&mut self, i: usize, latency: Micros) -> Micros {
+        self.set_ups += 1;
+        let least = &mut self.backends[i].least_set_up;
+        *least = latency.min(*least);
+        latency - *least
+    }
+
     /// Enters an attempt.
     pub(crate) fn begin(&mut self, mut work: Work, i: usize, now: Micros, until: Micros) {
         self.book(i, work.load, true);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -573,3 +573,36 @@
     d.event(Event::Noted(1, Note::Delay(10 * MS)));
     assert!(!watch(&mut d) && tell(&mut d, 1.2, 300.0).is_empty(), "notes are fresher");
 }
+
+/// Guards against reports that come seconds late: a set-up that waited tells at once that a backend is slow.
+#[test]
+fn without_notes_a_set_up_that_waited_long_tells_of_a_slow_backend() {
+    for (latency, slow) in [(90 * MS, false), (400 * MS, true)] {
+        let s = Settings { may_probe: true, delay_report: Some(1), ..settings() };
+        let mut d = Driver::new(s, 1);
+        d.connect(1);
+        d.request(2);
+        d.established(2, 0, latency);
+        // A slow one gets nothing new for a while; the request is held.
+        assert_eq!(sent(&d.request(3)).is_none(), slow, "{latency}");
+    }
+}
+
+/// Guards against a report older than the connections: at a start the first ones told of no load at all,
+/// and full backends were not asked again for three seconds.
+#[test]
+fn a_report_of_no_load_where_connections_stand_is_asked_for_again() {
+    let s = Settings { may_probe: true, load_report: Some(0), delay_report: Some(1), ..settings() };
+    let mut d = Driver::new(s, 1);
+    let backend = members(1)[0].backend.clone();
+    (0..4).for_each(|id| {
+        d.event(Event::Open(Request { id, ..Request::default() }, backend.clone()));
+    });
+    for load in [0.0, 0.4, 0.4] {
+        d.now += S;
+        let asked = !probed(&d.event(Event::Timer(4))).is_empty();
+        let report = vec![load, 9.0];
+        d.event(Event::Probed { backend: backend.clone(), status: Status::Ok, report });
+        assert_eq!(asked, d.now < 103 * S, "asked each second until a load was told");
+    }
+}
