--- a/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -4,7 +4,7 @@
 //! each connection, when to try again and when to give up. It does no I/O and reads no clock.
 //!
 //! ```
-//! use pierloom::{Action, Balancer, Event, ListKind, Member, Request, Settings};
+//! use pierloom_decision::{Action, Balancer, Event, ListKind, Member, Request, Settings};
 //!
 //! let mut settings = Settings::default();
 //! settings.classes[0].deadline = 1_200_000;
@@ -23,12 +23,11 @@
 pub mod logic;
 mod state;
 mod table;
-pub mod wire;
 
 pub use api::*;
 pub use logic::Balancer;
 
 /// Keeps the example in the README compiling and running.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Drives a balancer with scripted events.
 #![allow(dead_code)] // each test file uses its own part
 
-use pierloom::*;
+use pierloom_decision::*;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
--- a/tests/design.rs
+++ b/crates/decision/tests/design.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pierloom::*;
+use pierloom_decision::*;
 
 const TICK: u64 = 0;
 
--- a/tests/failures.rs
+++ b/crates/decision/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pierloom::*;
+use pierloom_decision::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const HOLD: u64 = 1;
--- a/tests/property.rs
+++ b/crates/decision/tests/property.rs
@@ -1,7 +1,7 @@
 //! Random legal event sequences against a model of what the bench would do; the rules that can be seen
 //! from outside must hold. The seed is fixed, so the verdict is always the same.
 
-use pierloom::*;
+use pierloom_decision::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pierloom::*;
+use pierloom_decision::*;
 
 #[test]
 fn every_end_of_the_last_attempt_brings_one_final_answer() {
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,122 @@
+#![forbid(unsafe_code)]
+#![allow(clippy::disallowed_types, clippy::disallowed_methods)] // the one place where these belong
+//! The one seam between the proxy and the machine it runs on: clock, timers, TCP, signals, the config file,
+//! variables, descriptors and tasks. [`Host::os`] is the real machine, on tokio. Whoever implements [`Machine`]
+//! provides another one, such as a simulated machine on a virtual clock, and the same network code runs there.
+//!
+//! Everything here is for one thread: handles are `Rc`s, tasks are local, and nothing is `Send`.
+
+mod net;
+mod os;
+mod task;
+
+pub use net::{Interest, Listening, TcpListener, TcpStream, Wire};
+pub use task::{Ended, Signals, Task};
+
+use std::any::Any;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::pin::Pin;
+use std::rc::Rc;
+
+/// A point in time (Unix time) or a span of time, in microseconds.
+pub type Micros = u64;
+
+/// A future of a machine's, on its one thread.
+pub type Local<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// A signal that the process handles.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Signal {
+    /// SIGHUP: the config was replaced.
+    Hangup,
+    /// SIGTERM: stop as planned.
+    Terminate,
+}
+
+/// What a machine provides to one process on it.
+pub trait Machine {
+    /// Unix time on a clock that never steps back; microseconds.
+    fn now(&self) -> Micros;
+    /// Ends at that time or soon after it.
+    fn sleep_until(&self, at: Micros) -> Local<'static, ()>;
+    /// Runs a task beside all others. It ends with the process at the latest.
+    fn spawn(&self, task: Local<'static, ()>);
+    /// Connects to that address. Dropped before its end, it leaves nothing open.
+    fn connect(&self, to: SocketAddr) -> Local<'static, io::Result<TcpStream>>;
+    /// Listens there, with so many connections that may wait to be accepted.
+    fn listen(&self, at: SocketAddr, backlog: i32) -> io::Result<TcpListener>;
+    /// Takes over the handling of a signal.
+    fn signals(&self, which: Signal) -> io::Result<Signals>;
+    /// Reads a file whole.
+    fn read_file(&self, path: &Path) -> io::Result<Vec<u8>>;
+    /// A variable of the process's environment.
+    fn variable(&self, name: &str) -> Option<String>;
+    /// Holds a descriptor until it is dropped; none if the process has none left.
+    fn spare_descriptor(&self) -> Option<Box<dyn Any>>;
+}
+
+/// A handle on the machine; clones share it.
+#[derive(Clone)]
+pub struct Host(Rc<dyn Machine>);
+
+impl Host {
+    /// The real machine. Whatever is asynchronous needs a tokio `LocalSet` with I/O and time round it.
+    pub fn os() -> Self {
+        Host(Rc::new(os::Os::new()))
+    }
+
+    /// A machine of the caller's.
+    pub fn of(machine: impl Machine + 'static) -> Self {
+        Host(Rc::new(machine))
+    }
+
+    /// Unix time; microseconds.
+    pub fn now(&self) -> Micros {
+        self.0.now()
+    }
+
+    /// Ends at that time or soon after it.
+    pub async fn sleep_until(&self, at: Micros) {
+        self.0.sleep_until(at).await;
+    }
+
+    /// Runs a task beside all others; a panic ends that task and no other.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) -> Task {
+        let (task, handle) = task::watched(task);
+        self.0.spawn(Box::pin(task));
+        handle
+    }
+
+    /// Connects to that address.
+    pub async fn connect(&self, to: SocketAddr) -> io::Result<TcpStream> {
+        self.0.connect(to).await
+    }
+
+    /// Listens there, with so many connections that may wait to be accepted.
+    pub fn listen(&self, at: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+        self.0.listen(at, backlog)
+    }
+
+    /// Takes over the handling of a signal.
+    pub fn signals(&self, which: Signal) -> io::Result<Signals> {
+        self.0.signals(which)
+    }
+
+    /// Reads a file whole.
+    pub fn read_file(&self, path: &Path) -> io::Result<Vec<u8>> {
+        self.0.read_file(path)
+    }
+
+    /// A variable of the process's environment.
+    pub fn variable(&self, name: &str) -> Option<String> {
+        self.0.variable(name)
+    }
+
+    /// Holds a descriptor until it is dropped; none if the process has none left.
+    pub fn spare_descriptor(&self) -> Option<Box<dyn Any>> {
+        self.0.spare_descriptor()
+    }
+}
--- /dev/null
+++ b/crates/host/src/os.rs
@@ -0,0 +1,71 @@
+//! The real machine, on tokio.
+
+use crate::task::Source;
+use crate::{Local, Machine, Micros, Signal, Signals, TcpListener, TcpStream};
+use socket2::{Domain, Socket, Type};
+use std::any::Any;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The clock is the Unix time at the start, carried on by one that never steps.
+pub struct Os {
+    start: Micros,
+    since: Instant,
+}
+
+impl Os {
+    pub fn new() -> Self {
+        let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Os { start: start.as_micros() as Micros, since: Instant::now() }
+    }
+}
+
+impl Machine for Os {
+    fn now(&self) -> Micros {
+        self.start + self.since.elapsed().as_micros() as Micros
+    }
+
+    fn sleep_until(&self, at: Micros) -> Local<'static, ()> {
+        Box::pin(tokio::time::sleep(Duration::from_micros(at.saturating_sub(self.now()))))
+    }
+
+    fn spawn(&self, task: Local<'static, ()>) {
+        tokio::task::spawn_local(task);
+    }
+
+    fn connect(&self, to: SocketAddr) -> Local<'static, io::Result<TcpStream>> {
+        Box::pin(async move { tokio::net::TcpStream::connect(to).await.map(TcpStream::from) })
+    }
+
+    fn listen(&self, at: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(backlog)?;
+        TcpListener::os(tokio::net::TcpListener::from_std(socket.into())?)
+    }
+
+    fn signals(&self, which: Signal) -> io::Result<Signals> {
+        let kind = match which {
+            Signal::Hangup => SignalKind::hangup(),
+            Signal::Terminate => SignalKind::terminate(),
+        };
+        Ok(Signals(Source::Os(signal(kind)?)))
+    }
+
+    fn read_file(&self, path: &Path) -> io::Result<Vec<u8>> {
+        std::fs::read(path)
+    }
+
+    fn variable(&self, name: &str) -> Option<String> {
+        std::env::var(name).ok()
+    }
+
+    fn spare_descriptor(&self) -> Option<Box<dyn Any>> {
+        std::fs::File::open("/dev/null").ok().map(|file| Box::new(file) as Box<dyn Any>)
+    }
+}
--- a/tests/proxy.rs
+++ b/crates/pierloom/tests/proxy.rs
@@ -1,5 +1,7 @@
 //! The real program as a process, among submitters, execute nodes and a machine list.
 
+#![allow(clippy::disallowed_types, clippy::disallowed_methods)] // peers of the real program, on real sockets
+
 mod world;
 
 use std::time::{Duration, Instant};
@@ -470,3 +472,26 @@
     assert_eq!(program(&["serve"]).output().unwrap().status.code(), Some(2), "no config at all");
     assert!(program(&["version"]).output().unwrap().stdout.starts_with(b"pierloom 0."));
 }
+
+#[test]
+fn settings_of_our_own_that_cannot_be_used_name_file_line_and_key() {
+    let path = config_file("own-settings", "[log]\nformat = \"text\"\nlines_per_second = 0\n");
+    let named = path.to_str().unwrap();
+    let check = || program(&["check", "--settings", named]).output().unwrap();
+    let cases = [
+        ("[log]\nlines_per_second = 0\n", "line 2: log.lines_per_second: "),
+        ("[log]\n\nformat = \"xml\"\n", "line 3: log.format: "),
+        ("\n[log]\nlevels = \"info\"\n", "line 3: log.levels: "),
+        ("[log\n", "line 1: "),
+    ];
+    for (text, said) in cases {
+        std::fs::write(&path, text).unwrap();
+        let output = check();
+        let complaint = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{text}: {complaint}");
+        assert_eq!(complaint.lines().count(), 1, "{complaint}");
+        assert!(complaint.contains(named) && complaint.contains(said), "{complaint}");
+    }
+    std::fs::write(&path, include_str!("../../../deploy/pierloom.toml")).unwrap();
+    assert_eq!(check().status.code(), Some(0));
+}
--- a/src/net/claim.rs
+++ b/crates/proxy/src/claim.rs
@@ -1,14 +1,12 @@
 //! A claim: one try of a job at an execute node.
 
-use super::core::Core;
-use super::platform::{Front, Reply};
-use pierloom::{Micros, Status};
+use crate::core::Core;
+use crate::front::{Front, Reply};
+use crate::stream::{first_line, read_line, write_all};
+use pierloom_decision::{Micros, Status};
+use pierloom_host::TcpStream;
 use std::io;
 use std::net::SocketAddr;
-use tokio::net::TcpStream;
-
-/// Longest line that any side sends; bytes.
-pub const LONGEST_LINE: usize = 4096;
 
 /// How far a claim came before it ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,17 +77,19 @@
     // A machine without an address cannot be connected to.
     let node = node.ok_or_else(|| ending(Reach::NotConnected, Cause::Broke))?;
     let stream = tokio::select! {
-        stream = TcpStream::connect(node) => stream.map_err(|_| ending(Reach::NotConnected, Cause::Broke))?,
+        biased;
+        stream = core.host.connect(node) => stream.map_err(|_| ending(Reach::NotConnected, Cause::Broke))?,
         () = core.deadlines.until(connect_until) => return Err(ending(Reach::NotConnected, Cause::Late)),
     };
     let mut reach = Reach::Unwritten;
     let answer = async {
-        stream.set_nodelay(true)?;
+        stream.set_nodelay()?;
         write_all(&stream, opening).await?;
         reach = Reach::Written;
         read_line(&stream, Vec::new()).await
     };
     let answer = tokio::select! {
+        biased;
         answer = answer => answer.map_err(|_: io::Error| Cause::Broke),
         () = core.deadlines.until(until) => Err(Cause::Late),
     };
@@ -99,52 +99,3 @@
         said => Err(ending(reach, Cause::Said(said))),
     }
 }
-
-/// The first line of what was received, without its end.
-pub fn first_line(received: &[u8]) -> &[u8] {
-    let line = received.split(|&byte| byte == b'\n').next().unwrap_or_default();
-    line.strip_suffix(b"\r").unwrap_or(line)
-}
-
-/// Writes everything; a stream shared for reading needs no mutable borrow.
-pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
-    while !bytes.is_empty() {
-        stream.writable().await?;
-        match stream.try_write(bytes) {
-            Ok(written) => bytes = &bytes[written..],
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
-        }
-    }
-    Ok(())
-}
-
-/// Reads on until a whole line is there. An end before it, or a line that is too long, is an error.
-pub async fn read_line(stream: &TcpStream, mut received: Vec<u8>) -> io::Result<Vec<u8>> {
-    while !received.contains(&b'\n') {
-        if received.len() >= LONGEST_LINE {
-            return Err(io::ErrorKind::InvalidData.into());
-        }
-        if read_more(stream, &mut received).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-    }
-    Ok(received)
-}
-
-/// Reads what there is, up to a line's length in all; 0 at the end.
-pub async fn read_more(stream: &TcpStream, received: &mut Vec<u8>) -> io::Result<usize> {
-    let mut part = [0; LONGEST_LINE];
-    let room = (LONGEST_LINE - received.len()).max(1);
-    loop {
-        stream.readable().await?;
-        match stream.try_read(&mut part[..room]) {
-            Ok(read) => {
-                received.extend_from_slice(&part[..read]);
-                return Ok(read);
-            }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
-        }
-    }
-}
--- a/src/net/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,11 +1,13 @@
 //! What the proxy is told at its start, LB_CONFIG and the variables beside it, and when its config was replaced.
 
-use super::machine_list::List;
-use pierloom::wire::{self, Names};
-use pierloom::{Balancer, Settings};
+use crate::source::discovery::List;
+use pierloom_decision::{Balancer, Settings};
+use pierloom_host::Host;
+use pierloom_wire::{self as wire, Names};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 /// A complaint in one plain line.
 pub type Fault = String;
@@ -29,15 +31,23 @@
 
 /// Everything that `serve` needs.
 pub struct Config {
+    /// Its name, the same after a restart.
     pub name: String,
+    /// Where submitters connect.
     pub listen: SocketAddr,
+    /// Where the machine list is told.
     pub discovery: SocketAddr,
+    /// Seed of the module's random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// The machine list as this proxy last had it.
     pub known: List,
+    /// The module's settings.
     pub settings: Settings,
-    pub names: Names,
+    /// The names that the settings use.
+    pub names: Rc<Names>,
+    /// Where all this was read.
     pub source: Source,
 }
 
@@ -51,14 +61,14 @@
 impl Source {
     /// Reads the file again: the address of discovery where the file names another than before, which then
     /// comes before LB_DISCOVERY. A file that `serve` would not start with changes nothing.
-    pub fn reread(&mut self) -> Result<Option<SocketAddr>, Fault> {
-        let stated = read(&self.path)?.source.discovery;
+    pub fn reread(&mut self, host: &Host) -> Result<Option<SocketAddr>, Fault> {
+        let stated = read(host, &self.path)?.source.discovery;
         if stated == self.discovery {
             return Ok(None);
         }
         let discovery = match &stated {
             Some(text) => parsed("discovery", text)?,
-            None => address("discovery", "LB_DISCOVERY", None)?,
+            None => address(host, "discovery", "LB_DISCOVERY", None)?,
         };
         self.discovery = stated;
         Ok(Some(discovery))
@@ -68,8 +78,8 @@
 /// Descriptors assumed where no limit is stated: the usual soft limit.
 const USUAL_SOCKETS: usize = 1024;
 
-fn address(what: &str, variable: &str, stated: Option<String>) -> Result<SocketAddr, Fault> {
-    let text = std::env::var(variable).ok().or(stated);
+fn address(host: &Host, what: &str, variable: &str, stated: Option<String>) -> Result<SocketAddr, Fault> {
+    let text = host.variable(variable).or(stated);
     let text = text.ok_or_else(|| format!("{what}: neither {variable} nor the config names an address"))?;
     parsed(what, &text)
 }
@@ -79,8 +89,8 @@
 }
 
 /// Reads the config file at `path`; LB_LISTEN and LB_DISCOVERY come before what it says.
-pub fn read(path: &Path) -> Result<Config, Fault> {
-    let mut bytes = std::fs::read(path).map_err(|e| format!("config {}: {e}", path.display()))?;
+pub fn read(host: &Host, path: &Path) -> Result<Config, Fault> {
+    let mut bytes = host.read_file(path).map_err(|e| format!("config {}: {e}", path.display()))?;
     let file: File = simd_json::serde::from_slice(&mut bytes)
         .map_err(|e| format!("config {}: {e}", path.display()).replace('\n', " "))?;
     let (settings, names) = wire::settings_value(file.settings)?;
@@ -89,14 +99,14 @@
     Balancer::new(settings.clone(), seed).map_err(|e| e.to_string())?;
     let source = Source { path: path.to_path_buf(), discovery: file.discovery.clone() };
     Ok(Config {
-        name: std::env::var("LB_NAME").ok().or(file.name).unwrap_or_else(|| "pierloom".into()),
-        listen: address("listen", "LB_LISTEN", file.listen)?,
-        discovery: address("discovery", "LB_DISCOVERY", file.discovery)?,
+        name: host.variable("LB_NAME").or(file.name).unwrap_or_else(|| "pierloom".into()),
+        listen: address(host, "listen", "LB_LISTEN", file.listen)?,
+        discovery: address(host, "discovery", "LB_DISCOVERY", file.discovery)?,
         seed,
         sockets: file.limits.map_or(USUAL_SOCKETS, |limits| limits.sockets),
         known: file.known,
         settings,
-        names,
+        names: Rc::new(names),
         source,
     })
 }
--- a/src/net/core.rs
+++ b/crates/proxy/src/core.rs
@@ -1,7 +1,10 @@
 //! Owns the decision module, its clock and its deadlines: hands events in and actions out. Knows no front.
 
-use super::deadlines::Deadlines;
-use pierloom::{Action, BackendId, Balancer, Ended, Event, Micros, Note, RequestId, Settings, Status};
+use crate::deadlines::Deadlines;
+use pierloom_decision::{
+    Action, BackendId, Balancer, Ended, Event, Micros, Note, RequestId, Settings, Status,
+};
+use pierloom_host::Host;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -41,8 +44,21 @@
     slow: bool,
 }
 
+/// What decides: the decision module, or the module in a wrapper that an experiment supplies.
+pub trait Decide {
+    /// Takes an event in and puts out what is to be done, as [`Balancer::handle`] does.
+    fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+}
+
+impl Decide for Balancer {
+    fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.handle(now, event, out);
+    }
+}
+
 pub struct Core {
-    balancer: RefCell<Balancer>,
+    pub host: Host,
+    module: RefCell<Box<dyn Decide>>,
     settings: Settings,
     pub deadlines: Deadlines,
     jobs: RefCell<BTreeMap<RequestId, Entry>>,
@@ -59,13 +75,17 @@
 
 impl Core {
     /// The core, and the probes that the module asks for.
-    pub fn new(settings: Settings, seed: u64) -> Result<(Rc<Self>, UnboundedReceiver<BackendId>), String> {
-        let balancer = Balancer::new(settings.clone(), seed).map_err(|e| e.to_string())?;
+    pub fn new(
+        host: Host,
+        settings: Settings,
+        module: Box<dyn Decide>,
+    ) -> (Rc<Self>, UnboundedReceiver<BackendId>) {
         let (probes, asked_probes) = unbounded_channel();
         let core = Core {
-            balancer: RefCell::new(balancer),
+            module: RefCell::new(module),
             settings,
-            deadlines: Deadlines::new(),
+            deadlines: Deadlines::new(host.clone()),
+            host,
             jobs: RefCell::default(),
             identities: RefCell::default(),
             next_job: Cell::new(1),
@@ -75,7 +95,7 @@
             noted: RefCell::default(),
             idle: Notify::new(),
         };
-        Ok((Rc::new(core), asked_probes))
+        (Rc::new(core), asked_probes)
     }
 
     pub fn now(&self) -> Micros {
@@ -89,7 +109,7 @@
     /// Hands an event to the module and its actions to whom they concern.
     pub fn tell(&self, event: Event) {
         let mut actions = Vec::new();
-        self.balancer.borrow_mut().handle(self.now(), event, &mut actions);
+        self.module.borrow_mut().decide(self.now(), event, &mut actions);
         for action in actions {
             match action {
                 Action::Send { id, backend, until } => self.order(id, Order::Claim { node: backend, until }),
@@ -260,7 +280,7 @@
         });
         // A panic that unwinds this job must meet no second one here, which would end the process.
         if catch_unwind(settle).is_err() {
-            eprintln!("job {}: a panic while it was settled", self.id);
+            tracing::error!(target: "job", "{}: a panic while it was settled", self.id);
         }
     }
 }
--- a/src/net/deadlines.rs
+++ b/crates/proxy/src/deadlines.rs
@@ -1,31 +1,14 @@
 //! All deadlines in one structure, sorted by time; what is due is taken out each turn.
 
-use pierloom::Micros;
+use pierloom_decision::Micros;
+use pierloom_host::Host;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 
-/// The module's clock: the Unix time at the start, carried on by a clock that never steps.
-struct Clock {
-    start: Micros,
-    since: Instant,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: start.as_micros() as Micros, since: Instant::now() }
-    }
-
-    fn now(&self) -> Micros {
-        self.start + self.since.elapsed().as_micros() as Micros
-    }
-}
-
 enum Due {
     /// A timer that the module set.
     Module(u64),
@@ -35,7 +18,7 @@
 
 /// Deadlines by (time, number).
 pub struct Deadlines {
-    clock: Clock,
+    host: Host,
     entries: RefCell<BTreeMap<(Micros, u64), Due>>,
     next: Cell<u64>,
     /// Rung when a new deadline comes before all others.
@@ -43,17 +26,12 @@
 }
 
 impl Deadlines {
-    pub fn new() -> Self {
-        Deadlines {
-            clock: Clock::new(),
-            entries: RefCell::default(),
-            next: Cell::new(0),
-            sooner: Notify::new(),
-        }
+    pub fn new(host: Host) -> Self {
+        Deadlines { host, entries: RefCell::default(), next: Cell::new(0), sooner: Notify::new() }
     }
 
     pub fn now(&self) -> Micros {
-        self.clock.now()
+        self.host.now()
     }
 
     fn enter(&self, at: Micros, due: Due) -> (Micros, u64) {
@@ -84,9 +62,9 @@
             match first {
                 Some(at) if at <= now => return self.take_due(now),
                 Some(at) => {
-                    let gap = std::time::Duration::from_micros(at - now);
                     tokio::select! {
-                        () = tokio::time::sleep(gap) => {}
+                        biased;
+                        () = self.host.sleep_until(at) => {}
                         () = self.sooner.notified() => {}
                     }
                 }
--- a/src/net/platform/lines.rs
+++ b/crates/proxy/src/front/lines.rs
@@ -1,8 +1,8 @@
 //! The platform's line protocol.
 
 use super::{First, Front, Opening, Reply};
-use pierloom::wire::{Names, key_hash};
-use pierloom::{BackendId, Micros, Request, Settings};
+use pierloom_decision::{BackendId, Micros, Request, Settings};
+use pierloom_wire::{Names, key_hash};
 use std::rc::Rc;
 use winnow::Result;
 use winnow::ascii::{alpha1, dec_uint, float};
@@ -20,6 +20,7 @@
 }
 
 impl Lines {
+    /// The grammar for the names of these settings.
     pub fn new(names: Rc<Names>, settings: &Settings) -> Self {
         let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         Lines { names, longest_wait: longest.saturating_mul(PATIENCE) }
--- /dev/null
+++ b/crates/proxy/src/front/mod.rs
@@ -0,0 +1,70 @@
+//! The front: what a protocol towards submitters and execute nodes has to provide.
+
+pub mod lines;
+
+use pierloom_decision::{BackendId, Micros, Request};
+
+/// What an execute node says in one line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The connection stands.
+    Up,
+    /// Served to its end.
+    Bye,
+    /// Sent away politely.
+    Move,
+    /// Failed; it may have run.
+    Error,
+    /// Turned away unseen.
+    Busy,
+    /// The connection's load now; microseconds of work a second.
+    Load(f64),
+    /// The answer to a probe, with the report where it is on the same line.
+    Pong(Vec<f64>),
+    /// Anything else.
+    Other,
+}
+
+/// A protocol between submitters, this proxy and execute nodes.
+pub trait Front {
+    /// Reads a submitter's first line.
+    fn first(&self, line: &[u8]) -> First;
+    /// Reads a line of an execute node's.
+    fn reply(&self, line: &[u8]) -> Reply;
+    /// Reads a load report on a line of its own.
+    fn report(&self, line: &[u8]) -> Vec<f64>;
+    /// Asks an execute node for its load.
+    fn load_query(&self) -> &'static [u8];
+    /// The answer 'refused; come again after that time'.
+    fn refusal(&self, wait: Option<Micros>) -> Vec<u8>;
+    /// The answer 'failed'.
+    fn failure(&self) -> Vec<u8>;
+    /// The answer 'served to its end already'.
+    fn served(&self) -> &'static [u8];
+    /// Sends a submitter away whose connection stands.
+    fn farewell(&self) -> &'static [u8];
+}
+
+/// A submitter's first line.
+pub enum First {
+    /// A job.
+    Job(Box<dyn Opening>),
+    /// Something else with its answer; another line may follow.
+    Answer(&'static [u8]),
+    /// Not understood.
+    Malformed,
+}
+
+/// What opens a job.
+pub trait Opening {
+    /// What the module needs to know; its identity and deadline are the host's to set.
+    fn request(&self) -> Request;
+    /// What tells the job from all others.
+    fn identity(&self) -> &str;
+    /// How long the submitter waits for its answer.
+    fn wait(&self) -> Micros;
+    /// The execute node that holds the connection already.
+    fn standing_at(&self) -> Option<BackendId>;
+    /// What an execute node is sent, where this proxy waits so long for its answer.
+    fn for_node(&self, wait: Micros) -> Vec<u8>;
+}
--- a/src/net/job.rs
+++ b/crates/proxy/src/job.rs
@@ -1,12 +1,13 @@
 //! The life of one job, from its opening to its final answer or the end of its connection.
 
-use super::claim::{self, Link};
-use super::core::{Core, Order, Seat};
-use super::platform::{Front, Opening};
-use super::relay;
-use pierloom::{BackendId, Event, Micros, Request, Status};
+use crate::claim::{self, Link};
+use crate::core::{Core, Order, Seat};
+use crate::front::{Front, Opening};
+use crate::relay;
+use crate::stream::{answer, read_more};
+use pierloom_decision::{BackendId, Event, Micros, Request, Status};
+use pierloom_host::TcpStream;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 
 /// The final answer leaves this long before the submitter stops waiting: it has a way to go; microseconds.
 const MARGIN: Micros = 20_000;
@@ -19,7 +20,7 @@
 pub async fn run(core: Rc<Core>, front: Rc<dyn Front>, submitter: TcpStream, opening: Box<dyn Opening>) {
     let Some(mut seat) = Seat::take(&core, opening.identity()) else {
         // Whoever holds that job is not to suffer from another that says it is the same.
-        return relay::answer(&core, submitter, &front.failure()).await;
+        return answer(&core, submitter, &front.failure()).await;
     };
     let (wait, standing_at) = (opening.wait(), opening.standing_at());
     let deadline = core.now() + wait.saturating_sub(MARGIN.min(wait / 4));
@@ -51,25 +52,25 @@
                     Err(ending) if ending.status() == Status::Ok => {
                         seat.answered();
                         seat.end(Status::Ok);
-                        return relay::answer(&core, submitter, front.served()).await;
+                        return answer(&core, submitter, front.served()).await;
                     }
                     Err(ending) => seat.end(ending.status()),
                 }
             }
             Order::Refuse(wait) => {
                 seat.answered();
-                return relay::answer(&core, submitter, &front.refusal(wait)).await;
+                return answer(&core, submitter, &front.refusal(wait)).await;
             }
             Order::Fail => {
                 seat.answered();
-                return relay::answer(&core, submitter, &front.failure()).await;
+                return answer(&core, submitter, &front.failure()).await;
             }
             Order::Move => {}
         }
     };
     let Some((link, node)) = link else {
         drop(seat);
-        return relay::answer(&core, submitter, &front.failure()).await;
+        return answer(&core, submitter, &front.failure()).await;
     };
     seat.stand();
     let ending = relay::run(&core, &*front, &mut seat, &node, submitter, link).await;
@@ -92,13 +93,14 @@
     let line = opening.for_node(RESUME);
     let link: Link = loop {
         let attempt = tokio::select! {
+            biased;
             attempt = claim::attempt(core, front, core.address(&node), &line, until) => attempt,
             left = breaks_off(&submitter) => return dismiss(core, front, seat, submitter, left).await,
         };
         match attempt {
             Ok(link) => break link,
             Err(_) if core.now() + RESUME_GAP > until => {
-                return relay::answer(core, submitter, &front.failure()).await;
+                return answer(core, submitter, &front.failure()).await;
             }
             Err(_) => core.deadlines.until(core.now() + RESUME_GAP).await,
         }
@@ -119,7 +121,7 @@
 
 /// Waits until the submitter no longer does.
 async fn breaks_off(submitter: &TcpStream) -> BreaksOff {
-    match claim::read_more(submitter, &mut Vec::new()).await {
+    match read_more(submitter, &mut Vec::new()).await {
         Ok(1..) => BreaksOff::Spoke,
         _ => BreaksOff::Left,
     }
@@ -130,6 +132,6 @@
     // The module is told that the submitter is gone, as for it this one is either way.
     drop(seat);
     if matches!(how, BreaksOff::Spoke) {
-        relay::answer(core, submitter, &front.failure()).await;
+        answer(core, submitter, &front.failure()).await;
     }
 }
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,94 @@
+#![forbid(unsafe_code)]
+//! The real proxy round the decision module: sockets, deadlines and bookkeeping, no decisions. It reaches its
+//! machine through [`pierloom_host::Host`] alone, so that it runs on any clock and any network.
+
+mod claim;
+pub mod config;
+mod core;
+mod deadlines;
+pub mod front;
+mod job;
+mod listener;
+mod probe;
+mod relay;
+mod reload;
+mod shutdown;
+mod source;
+mod stream;
+
+pub use self::core::Decide;
+
+use self::config::{Config, Fault};
+use self::core::Core;
+use self::front::{Front, lines::Lines};
+use self::source::discovery;
+use pierloom_decision::Balancer;
+use pierloom_host::{Ended, Host, Signal};
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use tokio::sync::watch;
+
+/// What a proxy is made of beside its network code.
+pub struct Parts {
+    /// What decides.
+    pub module: Box<dyn Decide>,
+    /// The protocol towards submitters and execute nodes.
+    pub front: Rc<dyn Front>,
+}
+
+impl Parts {
+    /// The decision module and the platform's line protocol, for that config.
+    pub fn of(config: &Config) -> Result<Self, Fault> {
+        let module = Balancer::new(config.settings.clone(), config.seed).map_err(|e| e.to_string())?;
+        let front = Lines::new(config.names.clone(), &config.settings);
+        Ok(Parts { module: Box::new(module), front: Rc::new(front) })
+    }
+}
+
+/// Runs the proxy on that machine until it has stopped as planned.
+pub async fn run(host: Host, config: Config, parts: Parts) -> Result<(), Fault> {
+    let Parts { module, front } = parts;
+    let (core, probes) = Core::new(host.clone(), config.settings, module);
+    let names = config.names;
+    discovery::enter_known(&core, &names, &config.known);
+    let known = Cell::new(Some(config.known.index()));
+    // Before anyone can know of this proxy: a signal without its handler would end it.
+    let signals = |which| host.signals(which).map_err(|e| format!("signals: {e}"));
+    let (hangups, terminations) = (signals(Signal::Hangup)?, signals(Signal::Terminate)?);
+    let (discovery_moves, address) = watch::channel(config.discovery);
+    host.spawn(reload::on_sighup(host.clone(), hangups, config.source, discovery_moves));
+    keep_up(&host, "sweep", {
+        let core = core.clone();
+        move || core.clone().sweep()
+    });
+    keep_up(&host, "machine list", {
+        let (core, names) = (core.clone(), names.clone());
+        move || discovery::watch(core.clone(), names.clone(), address.clone(), known.take())
+    });
+    host.spawn(probe::serve(core.clone(), front.clone(), probes));
+    let listener = listener::Listener::bind(&host, config.listen, config.sockets)?;
+    tracing::info!(target: "proxy", "{} listening on {}", config.name, listener.address());
+    // Ends with the process: new submitters are taken in until then.
+    keep_up(&host, "listener", {
+        let core = core.clone();
+        let listener = Rc::new(listener);
+        move || listener.clone().serve(core.clone(), front.clone())
+    });
+    shutdown::on_sigterm(core, terminations).await;
+    Ok(())
+}
+
+/// Runs a task that the proxy cannot do without; a panic in it ends that turn of it and no more.
+fn keep_up<F: Future<Output = ()> + 'static>(
+    host: &Host,
+    what: &'static str,
+    start: impl Fn() -> F + 'static,
+) {
+    let machine = host.clone();
+    host.spawn(async move {
+        while machine.spawn(start()).await == Ended::Broke {
+            tracing::error!(target: "proxy", "{what}: started again after a panic");
+        }
+    });
+}
--- a/src/net/platform/mod.rs
+++ b/crates/proxy/src/listener.rs
@@ -1,80 +1,18 @@
-//! The front: what a platform's protocol has to provide, and the handling of submitters.
-
-pub mod lines;
-
-use super::claim::{LONGEST_LINE, first_line, read_line, write_all};
-use super::config::Fault;
-use super::core::Core;
-use super::{job, relay};
-use pierloom::{BackendId, Micros, Request};
-use socket2::{Domain, Socket, Type};
+//! Takes submitters in: the listener, the lobby of those without a job, and the bound on jobs.
+
+use crate::config::Fault;
+use crate::core::Core;
+use crate::front::{First, Front, Opening};
+use crate::job;
+use crate::stream::{LONGEST_LINE, answer, first_line, read_line, write_all};
+use pierloom_decision::Micros;
+use pierloom_host::{Host, TcpListener, TcpStream};
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::fs::File;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
-
-/// What an execute node says in one line.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Reply {
-    Up,
-    Bye,
-    Move,
-    Error,
-    Busy,
-    /// The connection's load now; microseconds of work a second.
-    Load(f64),
-    /// The answer to a probe, with the report where it is on the same line.
-    Pong(Vec<f64>),
-    Other,
-}
-
-/// A protocol between submitters, this proxy and execute nodes.
-pub trait Front {
-    /// Reads a submitter's first line.
-    fn first(&self, line: &[u8]) -> First;
-    /// Reads a line of an execute node's.
-    fn reply(&self, line: &[u8]) -> Reply;
-    /// Reads a load report on a line of its own.
-    fn report(&self, line: &[u8]) -> Vec<f64>;
-    /// Asks an execute node for its load.
-    fn load_query(&self) -> &'static [u8];
-    /// The answer 'refused; come again after that time'.
-    fn refusal(&self, wait: Option<Micros>) -> Vec<u8>;
-    /// The answer 'failed'.
-    fn failure(&self) -> Vec<u8>;
-    /// The answer 'served to its end already'.
-    fn served(&self) -> &'static [u8];
-    /// Sends a submitter away whose connection stands.
-    fn farewell(&self) -> &'static [u8];
-}
-
-/// A submitter's first line.
-pub enum First {
-    /// A job.
-    Job(Box<dyn Opening>),
-    /// Something else with its answer; another line may follow.
-    Answer(&'static [u8]),
-    /// Not understood.
-    Malformed,
-}
-
-/// What opens a job.
-pub trait Opening {
-    /// What the module needs to know; its identity and deadline are the host's to set.
-    fn request(&self) -> Request;
-    /// What tells the job from all others.
-    fn identity(&self) -> &str;
-    /// How long the submitter waits for its answer.
-    fn wait(&self) -> Micros;
-    /// The execute node that holds the connection already.
-    fn standing_at(&self) -> Option<BackendId>;
-    /// What an execute node is sent, where this proxy waits so long for its answer.
-    fn for_node(&self, wait: Micros) -> Vec<u8>;
-}
 
 /// Descriptors kept for probes, the machine list, the listener and the runtime.
 const RESERVED: usize = 40;
@@ -117,6 +55,7 @@
             let longest = self.there.borrow().values().next().cloned();
             let Some((since, wanted)) = longest else { continue };
             tokio::select! {
+                biased;
                 () = self.left.notified() => continue,
                 () = core.deadlines.until(since + LEAST_HEARING) => {}
             }
@@ -146,34 +85,25 @@
 /// Takes submitters in.
 pub struct Listener {
     listener: TcpListener,
-    address: SocketAddr,
     /// Most jobs at once.
     most: usize,
     lobby: Rc<Lobby>,
     /// A descriptor to give up when there is none left to accept with.
-    spare: RefCell<Option<File>>,
+    spare: RefCell<Option<Box<dyn Any>>>,
 }
 
 impl Listener {
     /// Listens there, for as many jobs as `sockets` descriptors allow.
-    pub fn bind(address: SocketAddr, sockets: usize) -> Result<Self, Fault> {
-        let bind = || {
-            let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-            socket.set_reuse_address(true)?;
-            socket.set_nonblocking(true)?;
-            socket.bind(&address.into())?;
-            socket.listen(BACKLOG)?;
-            TcpListener::from_std(socket.into())
-        };
-        let listener = bind().map_err(|e| format!("listen: {address}: {e}"))?;
-        let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    pub fn bind(host: &Host, address: SocketAddr, sockets: usize) -> Result<Self, Fault> {
+        let listener = host.listen(address, BACKLOG).map_err(|e| format!("listen: {address}: {e}"))?;
         let places = (sockets / LOBBY_PART).max(LOBBY_LEAST);
         let most = (sockets.saturating_sub(RESERVED + places) / PER_JOB).max(1);
-        Ok(Listener { listener, address, most, lobby: Lobby::new(places), spare: RefCell::new(spare()) })
+        let spare = RefCell::new(host.spare_descriptor());
+        Ok(Listener { listener, most, lobby: Lobby::new(places), spare })
     }
 
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     /// Accepts for ever; each submitter is a task of its own, where a panic stays.
@@ -182,24 +112,26 @@
             let place = self.lobby.enter(&core).await;
             match self.listener.accept().await {
                 Ok((stream, _)) => {
-                    let (core, front, most) = (core.clone(), front.clone(), self.most);
-                    spawn_local(async move {
+                    let (host, core, front, most) =
+                        (core.host.clone(), core.clone(), front.clone(), self.most);
+                    host.spawn(async move {
                         if let Some((stream, opening)) = receive(&core, &*front, stream, place, most).await {
                             job::run(core, front, stream, opening).await;
                         }
                     });
                 }
                 Err(e) => {
-                    eprintln!("listener: {e}");
+                    tracing::warn!(target: "listener", "{e}");
                     // The spare descriptor lets one in, to be told so, in place of leaving all in the queue.
                     drop(self.spare.borrow_mut().take());
                     tokio::select! {
+                        biased;
                         accepted = self.listener.accept() => {
                             accepted.into_iter().for_each(|(stream, _)| refuse(&stream, &*front));
                         }
                         () = core.deadlines.until(core.now() + ACCEPT_PAUSE) => {}
                     }
-                    *self.spare.borrow_mut() = spare();
+                    *self.spare.borrow_mut() = core.host.spare_descriptor();
                     core.deadlines.until(core.now() + ACCEPT_PAUSE).await;
                 }
             }
@@ -207,10 +139,6 @@
     }
 }
 
-fn spare() -> Option<File> {
-    File::open("/dev/null").ok()
-}
-
 /// Says that there is no room, without waiting.
 fn refuse(stream: &TcpStream, front: &dyn Front) {
     // What lies unread at a close would make it a reset, which could take the words back.
@@ -236,8 +164,9 @@
     place: Place,
     most: usize,
 ) -> Option<(TcpStream, Box<dyn Opening>)> {
-    stream.set_nodelay(true).ok()?;
+    stream.set_nodelay().ok()?;
     let heard = tokio::select! {
+        biased;
         heard = hear(front, &stream) => heard,
         () = core.deadlines.until(core.now() + HEARING) => Heard::Wrong,
         () = place.wanted.notified() => {
@@ -254,7 +183,7 @@
     tokio::select! {
         // First, so that the words are on their way whatever else is ready.
         biased;
-        () = relay::answer(core, stream, &words) => {}
+        () = answer(core, stream, &words) => {}
         () = place.wanted.notified() => {}
     }
     None
--- a/src/net/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -1,16 +1,15 @@
 //! Probes of execute nodes, each on a connection kept for the next one.
 
-use super::claim::{first_line, read_line, write_all};
-use super::core::Core;
-use super::platform::{Front, Reply};
-use pierloom::{BackendId, Event, Micros, Status};
+use crate::core::Core;
+use crate::front::{Front, Reply};
+use crate::stream::{first_line, read_line, write_all};
+use pierloom_decision::{BackendId, Event, Micros, Status};
+use pierloom_host::TcpStream;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::task::spawn_local;
 
 /// A probe that has no answer by then has failed; microseconds.
 const PROBE_TIMEOUT: Micros = 250_000;
@@ -22,9 +21,10 @@
 pub async fn serve(core: Rc<Core>, front: Rc<dyn Front>, mut asked: UnboundedReceiver<BackendId>) {
     let kept = Rc::new(Kept::default());
     while let Some(node) = asked.recv().await {
-        let (core, front, kept) = (core.clone(), front.clone(), kept.clone());
-        spawn_local(async move {
+        let (host, core, front, kept) = (core.host.clone(), core.clone(), front.clone(), kept.clone());
+        host.spawn(async move {
             let (status, report) = tokio::select! {
+                biased;
                 answer = probe(&core, &*front, &kept, &node) => answer,
                 () = core.deadlines.until(core.now() + PROBE_TIMEOUT) => (Status::Timeout, Vec::new()),
             };
@@ -44,8 +44,8 @@
             return answer;
         }
     }
-    let Ok(stream) = TcpStream::connect(address).await else { return failed(Status::ConnectFailed) };
-    let _ = stream.set_nodelay(true);
+    let Ok(stream) = core.host.connect(address).await else { return failed(Status::ConnectFailed) };
+    let _ = stream.set_nodelay();
     match ask(front, &stream).await {
         Some(answer) => {
             kept.borrow_mut().insert(node.clone(), (address, stream));
--- a/src/net/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,19 +1,13 @@
 //! The relay of lines between a submitter and an execute node, once a claim is up, and polite endings.
 
-use super::claim::{Cause, Ending, LONGEST_LINE, Link, Reach, write_all};
-use super::core::{Core, Order, Seat};
-use super::platform::{Front, Reply};
-use pierloom::{BackendId, Event, Micros, Note, Status};
-use socket2::SockRef;
+use crate::claim::{Cause, Ending, Link, Reach};
+use crate::core::{Core, Order, Seat};
+use crate::front::{Front, Reply};
+use crate::stream::{ENDING, LONGEST_LINE, answer};
+use pierloom_decision::{BackendId, Event, Micros, Note, Status};
+use pierloom_host::{Interest, TcpStream};
 use std::collections::VecDeque;
 use std::io;
-use std::net::Shutdown;
-use std::time::Duration;
-use tokio::io::Interest;
-use tokio::net::TcpStream;
-
-/// Once one side has ended, the other has this long to end too; microseconds.
-const ENDING: Micros = 800_000;
 /// A message without its answer is reported this often; microseconds.
 const SILENT_STEP: Micros = 1_000_000;
 /// An execute node that stops within a line gets this long to finish it before a move; microseconds.
@@ -59,7 +53,7 @@
         if self.ended && !self.passed_end {
             self.passed_end = true;
             // The other side may be gone already, which its own direction tells.
-            let _ = SockRef::from(to).shutdown(Shutdown::Write);
+            let _ = to.finish();
         }
         Ok(())
     }
@@ -89,23 +83,6 @@
     }
 }
 
-fn interest(read: bool, write: bool) -> Option<Interest> {
-    match (read, write) {
-        (true, true) => Some(Interest::READABLE | Interest::WRITABLE),
-        (true, false) => Some(Interest::READABLE),
-        (false, true) => Some(Interest::WRITABLE),
-        (false, false) => None,
-    }
-}
-
-async fn ready(stream: &TcpStream, interest: Option<Interest>) {
-    match interest {
-        // An error shows at the read or write that follows.
-        Some(interest) => drop(stream.ready(interest).await),
-        None => std::future::pending().await,
-    }
-}
-
 /// A connection that is up, between a submitter and an execute node.
 struct Relay<'a> {
     core: &'a Core,
@@ -246,13 +223,13 @@
         match relay.pass(&submitter, &node) {
             Ok(()) => {}
             Err(Broke::Submitter) => {
-                reset(&node);
+                node.reset_on_close();
                 return ending(Cause::Left);
             }
             Err(Broke::Node) => {
                 // What it said before belongs to the submitter; then the reset is passed on.
                 let _ = relay.down.write(&submitter);
-                reset(&submitter);
+                submitter.reset_on_close();
                 return ending(relay.cause());
             }
         }
@@ -279,14 +256,19 @@
         if now >= relay.look_at() {
             relay.silent();
         }
-        let submitter_interest =
-            interest(!relay.up.ended && relay.up.buffer.is_empty(), !relay.down.buffer.is_empty());
-        let node_interest =
-            interest(!relay.down.ended && relay.down.buffer.is_empty(), !relay.up.buffer.is_empty());
+        let at_submitter = Interest {
+            read: !relay.up.ended && relay.up.buffer.is_empty(),
+            write: !relay.down.buffer.is_empty(),
+        };
+        let at_node = Interest {
+            read: !relay.down.ended && relay.down.buffer.is_empty(),
+            write: !relay.up.buffer.is_empty(),
+        };
         let look_at = relay.look_at();
         tokio::select! {
-            () = ready(&submitter, submitter_interest) => {}
-            () = ready(&node, node_interest) => {}
+            biased;
+            () = submitter.ready(at_submitter) => {}
+            () = node.ready(at_node) => {}
             order = relay.seat.orders.recv() => {
                 if matches!(order, Some(Order::Move)) {
                     relay.move_wanted.get_or_insert(core.now());
@@ -296,32 +278,3 @@
         }
     }
 }
-
-/// Makes the coming close of this connection a reset.
-fn reset(stream: &TcpStream) {
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-}
-
-/// Sends the last words, ends the sending and waits a little for the other side to end: a close with bytes
-/// unread would be a reset, and could take the words back.
-pub async fn answer(core: &Core, stream: TcpStream, words: &[u8]) {
-    let goodbye = async {
-        write_all(&stream, words).await?;
-        SockRef::from(&stream).shutdown(Shutdown::Write)?;
-        let mut rest = [0; LONGEST_LINE];
-        loop {
-            stream.readable().await?;
-            match stream.try_read(&mut rest) {
-                Ok(0) => return Ok(()),
-                Ok(_) => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err::<(), io::Error>(e),
-            }
-        }
-    };
-    tokio::select! {
-        // Whether it was heard to the end changes nothing here.
-        _ = goodbye => {}
-        () = core.deadlines.until(core.now() + ENDING) => {}
-    }
-}
--- a/src/net/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,9 +1,9 @@
 //! The planned stop: new submitters still come for a moment, and all are sent away in a spread.
 
-use super::core::{Core, Order};
-use pierloom::Micros;
+use crate::core::{Core, Order};
+use pierloom_decision::Micros;
+use pierloom_host::Signals;
 use std::rc::Rc;
-use tokio::signal::unix::Signal;
 
 /// The kill comes no sooner than the longest deadline after the signal, counted as at most this...
 const LONGEST_COUNTED: Micros = 3_000_000;
@@ -18,7 +18,7 @@
 const STEP: Micros = 20_000;
 
 /// Waits for SIGTERM and serves the rest of the process's life.
-pub async fn on_sigterm(core: Rc<Core>, mut terminations: Signal) {
+pub async fn on_sigterm(core: Rc<Core>, mut terminations: Signals) {
     terminations.recv().await;
     let told = core.now();
     let longest = core.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
@@ -37,6 +37,7 @@
     core.waiting().into_iter().for_each(|id| core.order(id, Order::Refuse(None)));
     core.standing().into_iter().for_each(|id| core.order(id, Order::Move));
     tokio::select! {
+        biased;
         () = core.idle() => {}
         () = core.deadlines.until(kill - ENDED_EARLY) => {}
     }
--- a/src/net/machine_list.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -1,17 +1,16 @@
 //! The machine list: discovery's list over HTTP/1.1, read whole once and then watched for changes.
 
-use super::core::Core;
+use crate::core::Core;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
-use pierloom::wire::Names;
-use pierloom::{Event, ListKind, Member, MemberState, Micros};
+use pierloom_decision::{Event, ListKind, Member, MemberState, Micros};
+use pierloom_wire::Names;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 /// How long discovery may hold a watch: short enough to notice soon that it was cut off; milliseconds.
@@ -80,7 +79,9 @@
             Ok(address) => core.set_address(endpoint.name.as_str().into(), address),
             // A machine that is gone may be named without one.
             Err(_) if matches!(endpoint.status, Status::Gone) => {}
-            Err(_) => eprintln!("machine list: {} has the address {:?}", endpoint.name, endpoint.address),
+            Err(_) => {
+                tracing::warn!(target: "machine_list", "{} has the address {:?}", endpoint.name, endpoint.address)
+            }
         }
     }
     let members = list.endpoints.iter().map(|endpoint| endpoint.member(names)).collect();
@@ -96,12 +97,16 @@
 
 async fn connect(core: &Core, discovery: SocketAddr) -> Result<Sender, String> {
     let stream = tokio::select! {
-        stream = TcpStream::connect(discovery) => stream.map_err(|e| e.to_string())?,
+        biased;
+        stream = core.host.connect(discovery) => stream.map_err(|e| e.to_string())?,
         () = core.deadlines.until(core.now() + CONNECT) => return Err("no connection".to_string()),
     };
-    stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    stream.set_nodelay().map_err(|e| e.to_string())?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-    tokio::task::spawn_local(connection);
+    core.host.spawn(async move {
+        // How it ended shows at the call that used it.
+        let _ = connection.await;
+    });
     Ok(sender)
 }
 
@@ -145,6 +150,7 @@
     loop {
         let address = *discovery.borrow_and_update();
         tokio::select! {
+            biased;
             () = follow(&core, &names, address, known.take()) => {}
             // An error is the end of the process.
             _ = discovery.changed() => {}
@@ -161,6 +167,7 @@
     loop {
         let held = from.map_or(0, |_| HOLD_MS * 1_000);
         let answer = tokio::select! {
+            biased;
             answer = call(core, &mut kept, discovery, from) => answer,
             () = core.deadlines.until(core.now() + held + SLACK) => Err("no answer".to_string()),
         };
@@ -172,7 +179,7 @@
                 enter(core, names, &list, kind);
             }
             Err(why) => {
-                eprintln!("machine list: a call failed: {why}");
+                tracing::warn!(target: "machine_list", "a call failed: {why}");
                 kept = None;
                 core.forget_asked();
                 core.tell(Event::Members { kind: ListKind::Failed, members: [].into() });
--- /dev/null
+++ b/crates/proxy/src/source/mod.rs
@@ -0,0 +1,3 @@
+//! What tells of execute nodes.
+
+pub mod discovery;
--- a/src/bin/pierloom-adapter.rs
+++ b/crates/wire/src/bin/pierloom-adapter.rs
@@ -2,8 +2,8 @@
 //! Hosts instances of the decision module on the bench's line protocol. Instances share nothing
 //! but the immutable lists.
 
-use pierloom::wire::{self, Fault, Line, Names};
-use pierloom::{Action, Balancer, Event, Member};
+use pierloom_decision::{Action, Balancer, Event, Member};
+use pierloom_wire::{self as wire, Fault, Line, Names};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
--- a/src/wire.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,6 @@
 //! Strict parsing and printing of the bench's line protocol; it decides nothing.
 
-use crate::api::*;
+use pierloom_decision::*;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
--- a/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire: strict parsing, plain complaints, exact printing, and the host as a process.
 
-use pierloom::wire::{self, Line};
-use pierloom::*;
+use pierloom_decision::*;
+use pierloom_wire::{self as wire, Line};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
