--- /dev/null
+++ b/crates/lab/src/defects.rs
@@ -0,0 +1,230 @@
+//! Small breakages round the unchanged proxy: the decision module in a wrapper, or the front. They exist for
+//! experiments and tests only; the proxy's own program links nothing of this.
+
+use pierloom_decision::{Action, BackendId, Balancer, Event, Member, MemberState, Micros};
+use pierloom_proxy::front::{First, Front, Reply};
+use pierloom_proxy::{Decide, Parts};
+use pierloom_world::run::Build;
+use std::rc::Rc;
+use std::str::FromStr;
+
+/// A breakage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// A refusal is written twice.
+    AnswerTwice,
+    /// The module never hears that an execute node drains.
+    DrainIgnored,
+    /// The module never hears that an execute node is gone.
+    GoneIgnored,
+    /// The module takes every execute node for one that has run for long.
+    ColdIgnored,
+    /// Refusals get lost.
+    RefusalLost,
+    /// Each claim is ordered a second time while the first is out.
+    ClaimTwice,
+    /// The module does not hear of a message without its answer.
+    SilenceIgnored,
+    /// The module does not ask for the list again.
+    WatchForgotten,
+    /// Moves are sent without a word.
+    MoveMute,
+    /// The module panics at a load note now and then.
+    PanicAtNote,
+    /// Claims to a node that drains are ordered elsewhere a second late.
+    AnswerLate,
+    /// An opening loses its group on the way to the execute node.
+    OpeningChanged,
+    /// Bad openings are taken for silence.
+    BadIgnored,
+}
+
+/// All of them, with their names.
+pub const DEFECTS: [(&str, Defect); 13] = [
+    ("answer-twice", Defect::AnswerTwice),
+    ("drain-ignored", Defect::DrainIgnored),
+    ("gone-ignored", Defect::GoneIgnored),
+    ("cold-ignored", Defect::ColdIgnored),
+    ("refusal-lost", Defect::RefusalLost),
+    ("claim-twice", Defect::ClaimTwice),
+    ("silence-ignored", Defect::SilenceIgnored),
+    ("watch-forgotten", Defect::WatchForgotten),
+    ("move-mute", Defect::MoveMute),
+    ("panic-at-note", Defect::PanicAtNote),
+    ("answer-late", Defect::AnswerLate),
+    ("opening-changed", Defect::OpeningChanged),
+    ("bad-ignored", Defect::BadIgnored),
+];
+
+impl FromStr for Defect {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let found = DEFECTS.iter().find(|(name, _)| *name == text).map(|(_, defect)| *defect);
+        found.ok_or_else(|| {
+            let names: Vec<&str> = DEFECTS.iter().map(|(name, _)| *name).collect();
+            format!("there is no defect {text:?}; there are {}", names.join(", "))
+        })
+    }
+}
+
+impl Defect {
+    /// Builds proxies that have it.
+    pub fn build(self) -> Build {
+        Rc::new(move |config| {
+            let parts = Parts::of(config)?;
+            let module = Balancer::new(config.settings.clone(), config.seed).map_err(|e| e.to_string())?;
+            let module = Box::new(Module { defect: self, inner: module, late: Vec::new(), notes: 0 });
+            let front = Rc::new(Bent { defect: self, inner: parts.front });
+            Ok(Parts { module, front })
+        })
+    }
+}
+
+struct Module {
+    defect: Defect,
+    inner: Balancer,
+    late: Vec<(u64, Action)>,
+    notes: u64,
+}
+
+/// Tokens of timers that the module does not set.
+const OWN_TOKENS: u64 = 1 << 60;
+
+impl Module {
+    /// What the list says, bent.
+    fn member(&self, member: &Member) -> Member {
+        let mut member = member.clone();
+        match self.defect {
+            Defect::DrainIgnored if member.state == MemberState::Draining => {
+                member.state = MemberState::Ready
+            }
+            Defect::GoneIgnored if member.state == MemberState::Gone => member.state = MemberState::Ready,
+            Defect::ColdIgnored => member.started = 0,
+            _ => {}
+        }
+        member
+    }
+}
+
+impl Decide for Module {
+    fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        let event = match event {
+            Event::Members { kind, members } => {
+                Event::Members { kind, members: members.iter().map(|member| self.member(member)).collect() }
+            }
+            Event::Timer(token) if token >= OWN_TOKENS => {
+                let due = self.late.iter().position(|(of, _)| *of == token);
+                out.extend(due.map(|at| self.late.swap_remove(at).1));
+                return;
+            }
+            Event::Noted(_, pierloom_decision::Note::Silent(_)) if self.defect == Defect::SilenceIgnored => {
+                return;
+            }
+            Event::Noted(..) if self.defect == Defect::PanicAtNote => {
+                self.notes += 1;
+                assert!(!self.notes.is_multiple_of(50), "planted");
+                event
+            }
+            event => event,
+        };
+        let begin = out.len();
+        self.inner.handle(now, event, out);
+        match self.defect {
+            Defect::RefusalLost => out.retain(|action| !matches!(action, Action::Refuse { .. })),
+            Defect::WatchForgotten => out.retain(|action| !matches!(action, Action::Subscribe)),
+            Defect::ClaimTwice => {
+                let again: Vec<Action> = out[begin..]
+                    .iter()
+                    .filter(|action| matches!(action, Action::Send { .. }))
+                    .cloned()
+                    .collect();
+                out.extend(again);
+            }
+            Defect::AnswerLate => {
+                let (refusals, rest) =
+                    out.drain(..).partition(|action| matches!(action, Action::Refuse { .. }));
+                *out = rest;
+                let refusals: Vec<Action> = refusals;
+                for refusal in refusals {
+                    let token = OWN_TOKENS + self.late.len() as u64 + now;
+                    self.late.push((token, refusal));
+                    out.push(Action::Timer(5_000_000, token));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+struct Bent {
+    defect: Defect,
+    inner: Rc<dyn Front>,
+}
+
+struct BentOpening(Box<dyn pierloom_proxy::front::Opening>);
+
+impl pierloom_proxy::front::Opening for BentOpening {
+    fn request(&self) -> pierloom_decision::Request {
+        self.0.request()
+    }
+
+    fn identity(&self) -> &str {
+        self.0.identity()
+    }
+
+    fn wait(&self) -> Micros {
+        self.0.wait()
+    }
+
+    fn standing_at(&self) -> Option<BackendId> {
+        self.0.standing_at()
+    }
+
+    fn for_node(&self, wait: Micros) -> Vec<u8> {
+        let line = String::from_utf8_lossy(&self.0.for_node(wait)).into_owned();
+        let kept: Vec<&str> = line.trim_end().split(',').filter(|field| !field.starts_with("g=")).collect();
+        format!("{}\r\n", kept.join(",")).into_bytes()
+    }
+}
+
+impl Front for Bent {
+    fn first(&self, line: &[u8]) -> First {
+        match self.inner.first(line) {
+            First::Job(opening) if self.defect == Defect::OpeningChanged => {
+                First::Job(Box::new(BentOpening(opening)))
+            }
+            First::Malformed if self.defect == Defect::BadIgnored => First::Answer(b""),
+            first => first,
+        }
+    }
+
+    fn reply(&self, line: &[u8]) -> Reply {
+        self.inner.reply(line)
+    }
+
+    fn report(&self, line: &[u8]) -> Vec<f64> {
+        self.inner.report(line)
+    }
+
+    fn load_query(&self) -> &'static [u8] {
+        self.inner.load_query()
+    }
+
+    fn refusal(&self, wait: Option<Micros>) -> Vec<u8> {
+        let words = self.inner.refusal(wait);
+        if self.defect == Defect::AnswerTwice { words.repeat(2) } else { words }
+    }
+
+    fn failure(&self) -> Vec<u8> {
+        self.inner.failure()
+    }
+
+    fn served(&self) -> &'static [u8] {
+        self.inner.served()
+    }
+
+    fn farewell(&self) -> &'static [u8] {
+        if self.defect == Defect::MoveMute { b"" } else { self.inner.farewell() }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,150 @@
+#![forbid(unsafe_code)]
+#![allow(clippy::disallowed_types, clippy::disallowed_methods)] // a tool on the real machine, not the proxy
+//! `pierloom-lab`: seeds, replays, shrinking and digests on the proxy's simulated world.
+
+mod seeds;
+mod shrink;
+
+use argh::FromArgs;
+use pierloom_lab::defects::Defect;
+use pierloom_world::draw::draw;
+use pierloom_world::run::{Options, Report, play};
+use pierloom_world::script::Script;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Experiments on the proxy's simulated world. Exit codes: 0 no rule broken, 1 a rule broken, 2 bad input.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Seeds(seeds::Seeds),
+    Replay(Replay),
+    Script(Print),
+    Shrink(shrink::Shrink),
+    Digest(Digest),
+}
+
+/// Play one seed or one script, and say which rules broke and what led there.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+struct Replay {
+    /// a seed, or a script's file
+    #[argh(positional)]
+    what: String,
+    /// print everything that crosses the sockets
+    #[argh(switch)]
+    trace: bool,
+    /// print the report as JSON
+    #[argh(switch)]
+    json: bool,
+    /// plant a defect in the proxies; to see that it is found
+    #[argh(option)]
+    defect: Option<Defect>,
+}
+
+/// Print the script of a seed, to be edited and replayed.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "script")]
+struct Print {
+    /// the seed
+    #[argh(positional)]
+    seed: String,
+}
+
+/// Print one hash of everything that crossed the sockets in a seed's run, with its times.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "digest")]
+struct Digest {
+    /// the seed, or a script's file
+    #[argh(positional)]
+    what: String,
+}
+
+/// Exit code where a rule broke, and for input that cannot be used.
+const BROKEN: u8 = 1;
+const BAD_INPUT: u8 = 2;
+
+/// Reads a seed: a decimal number.
+fn seed(text: &str) -> Result<u64, String> {
+    text.parse().map_err(|_| format!("{text:?} is no seed: a number from 0 to {} is wanted", u64::MAX))
+}
+
+/// The script that a seed draws, or that a file holds.
+fn script(what: &str) -> Result<Script, String> {
+    if Path::new(what).extension().is_some_and(|extension| extension == "toml") {
+        let text = std::fs::read_to_string(what).map_err(|e| format!("{what}: {e}"))?;
+        return Script::read(what, &text);
+    }
+    seed(what).map(draw)
+}
+
+fn tell(report: &Report) {
+    for breach in &report.breaches {
+        println!("{:?} at {:.6} s: {}", breach.rule, breach.at as f64 / 1e6, breach.what);
+        breach.led_to.iter().for_each(|line| println!("    {line}"));
+    }
+    let counts = &report.counts;
+    println!(
+        "{} s, {} connections, {} jobs ({} served, {} refused, {} failed), {} claims, {} moves, {} crossings; \
+         service {:.4}; digest {:016x}; {} rules broken",
+        report.length / 1_000_000,
+        counts.connections,
+        counts.jobs,
+        counts.served,
+        counts.refused,
+        counts.failed,
+        counts.claims,
+        counts.moves,
+        counts.crossings,
+        report.service(),
+        report.digest,
+        report.breaches.len()
+    );
+}
+
+fn replay(asked: &Replay) -> Result<bool, String> {
+    let script = script(&asked.what)?;
+    let build = asked.defect.map(Defect::build);
+    let report = play(&script, &Options { trace: asked.trace, build });
+    if asked.json {
+        println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?);
+    } else {
+        tell(&report);
+    }
+    Ok(report.breaches.is_empty())
+}
+
+fn write(path: &PathBuf, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let done = match arguments.command {
+        Command::Seeds(asked) => seeds::run(&asked),
+        Command::Replay(asked) => replay(&asked),
+        Command::Script(asked) => seed(&asked.seed).map(|seed| {
+            print!("{}", draw(seed).print());
+            true
+        }),
+        Command::Shrink(asked) => shrink::run(&asked),
+        Command::Digest(asked) => script(&asked.what).map(|script| {
+            println!("{:016x}", play(&script, &Options::default()).digest);
+            true
+        }),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(BROKEN),
+        Err(fault) => {
+            eprintln!("pierloom-lab: {fault}");
+            ExitCode::from(BAD_INPUT)
+        }
+    }
+}
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -71,6 +71,9 @@
     noted: RefCell<BTreeMap<BackendId, Noted>>,
     /// Rung when the last job has left.
     idle: Notify,
+    /// Set when the process is about to end, and rung then.
+    ending: Cell<bool>,
+    ends: Notify,
 }
 
 impl Core {
@@ -94,6 +97,8 @@
             probes,
             noted: RefCell::default(),
             idle: Notify::new(),
+            ending: Cell::new(false),
+            ends: Notify::new(),
         };
         (Rc::new(core), asked_probes)
     }
@@ -190,6 +195,19 @@
         self.jobs.borrow().iter().filter(|(_, job)| !job.standing).map(|(&id, _)| id).collect()
     }
 
+    /// Says that the process is about to end: whatever a job is at, its submitter is owed a word now.
+    pub fn end(&self) {
+        self.ending.set(true);
+        self.ends.notify_waiters();
+    }
+
+    /// Waits until the process is about to end.
+    pub async fn ends(&self) {
+        while !self.ending.get() {
+            self.ends.notified().await;
+        }
+    }
+
     /// Waits until no job is left.
     pub async fn idle(&self) {
         while !self.jobs.borrow().is_empty() {
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -45,6 +45,8 @@
                     biased;
                     attempt = claim::attempt(&core, &*front, core.address(&node), &line, until) => attempt,
                     left = breaks_off(&submitter) => return dismiss(&core, &*front, seat, submitter, left).await,
+                    // What the claim comes to nobody would hear; whether it ran is not known either.
+                    () = core.ends() => break None,
                 };
                 match attempt {
                     Ok(link) => break Some((link, node)),
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -97,6 +97,8 @@
     /// When each message went in that has no answer yet.
     waiting: VecDeque<Micros>,
     next_silent: Micros,
+    /// The submitter does not take what it is sent, so that nothing more is read from the execute node.
+    stalled: bool,
     /// The last thing that the execute node said of the end.
     said: Option<Reply>,
     /// When a move was first wanted.
@@ -151,11 +153,11 @@
 
     /// When the relay has to look again though nothing comes.
     fn look_at(&self) -> Micros {
-        let silent = if self.waiting.is_empty() { Micros::MAX } else { self.next_silent };
+        let silent = if self.waiting.is_empty() || self.stalled { Micros::MAX } else { self.next_silent };
         let ending = self.ended_at.map_or(Micros::MAX, |at| at + ENDING);
         // An ending needs no move: a deadline of one that has passed would be looked at again and again.
         let moving = self.move_wanted.filter(|_| self.ended_at.is_none());
-        let half_line = moving.map_or(Micros::MAX, |at| at + HALF_LINE);
+        let half_line = moving.filter(|_| !self.stalled).map_or(Micros::MAX, |at| at + HALF_LINE);
         silent.min(ending).min(half_line)
     }
 
@@ -166,12 +168,25 @@
             self.went_down();
         }
         self.down.write(submitter).map_err(|_| Broke::Submitter)?;
+        self.note_stall();
         if self.up.read(submitter).map_err(|_| Broke::Submitter)? > 0 {
             self.went_up();
         }
         self.up.write(node).map_err(|_| Broke::Node)
     }
 
+    /// Guards against blaming an execute node for a submitter that does not read: what the node says lies unread
+    /// meanwhile, and its time to answer begins anew after that.
+    fn note_stall(&mut self) {
+        let stalled = !self.down.buffer.is_empty();
+        if std::mem::replace(&mut self.stalled, stalled) && !stalled {
+            let now = self.core.now();
+            self.waiting.iter_mut().for_each(|since| *since = now);
+            self.next_silent = now + SILENT_STEP;
+            self.move_wanted = self.move_wanted.map(|_| now);
+        }
+    }
+
     /// Why the claim ended, once one side has.
     fn cause(&mut self) -> Cause {
         match self.said.take() {
@@ -210,6 +225,7 @@
         down_lines: Lines::default(),
         waiting: VecDeque::new(),
         next_silent: Micros::MAX,
+        stalled: false,
         said: None,
         move_wanted: None,
         ended_at: None,
@@ -245,7 +261,7 @@
         }
         if let Some(wanted) = relay.move_wanted.filter(|_| relay.ended_at.is_none()) {
             let between = relay.down.buffer.is_empty() && !relay.down_lines.within;
-            if between || now >= wanted + HALF_LINE {
+            if between || !relay.stalled && now >= wanted + HALF_LINE {
                 drop(node);
                 let farewell = if between { front.farewell() } else { b"" };
                 relay.seat.end(Status::Cancelled);
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -14,6 +14,10 @@
 /// Before the kill, all moves are under way this early, and the process ends this early; microseconds.
 const MOVED_EARLY: Micros = 1_100_000;
 const ENDED_EARLY: Micros = 250_000;
+/// Before its end, the process has this long for the answers to claims given up; microseconds.
+const LAST_WORDS: Micros = 200_000;
+/// After the last moves, it looks this often for connections that came up since; microseconds.
+const LAST_STEP: Micros = 50_000;
 /// Moves go out no closer than this, several at once where they are many; microseconds.
 const STEP: Micros = 20_000;
 
@@ -33,9 +37,22 @@
         standing.into_iter().take(share).for_each(|id| core.order(id, Order::Move));
         core.deadlines.until((core.now() + gap).min(last_move)).await;
     }
-    // Whoever is not served by now is free to go elsewhere while there is time.
-    core.waiting().into_iter().for_each(|id| core.order(id, Order::Refuse(None)));
-    core.standing().into_iter().for_each(|id| core.order(id, Order::Move));
+    // Whoever is not served by now is free to go elsewhere while there is time. A claim that is out may still
+    // bring its connection up: that one is moved too, and what is out at the very end is given up.
+    let last_words = kill - ENDED_EARLY - LAST_WORDS;
+    loop {
+        core.waiting().into_iter().for_each(|id| core.order(id, Order::Refuse(None)));
+        core.standing().into_iter().for_each(|id| core.order(id, Order::Move));
+        tokio::select! {
+            biased;
+            () = core.idle() => return,
+            () = core.deadlines.until((core.now() + LAST_STEP).min(last_words)) => {}
+        }
+        if core.now() >= last_words {
+            break;
+        }
+    }
+    core.end();
     tokio::select! {
         biased;
         () = core.idle() => {}
--- /dev/null
+++ b/crates/world/src/draw.rs
@@ -0,0 +1,197 @@
+//! Draws a script from a seed. For each seed some kinds of fault are in play and some are not (swarm testing,
+//! Groce et al., ISSTA 2012), each with a strength and a frequency of its own.
+
+use crate::rng::{Rng, stream};
+use crate::script::{BAD, Contract, FORMAT, Fault, LinkSpec, NodeSpec, ProxySpec, Script, SubmitterSpec};
+use rand::Rng as _;
+use rand::seq::IndexedRandom;
+use std::ops::Range;
+
+/// Length of a drawn run; milliseconds.
+const LENGTH: Range<u64> = 20_000..26_000;
+/// Kinds of fault that a seed may have in play.
+const KINDS: usize = 15;
+
+/// The script of that seed.
+pub fn draw(seed: u64) -> Script {
+    let mut rng = stream(seed, "site");
+    let length_ms = rng.random_range(LENGTH);
+    let links = LinkSpec {
+        same_us: rng.random_range(50..400),
+        cross_us: rng.random_range(1_000..6_000),
+        jitter: rng.random_range(0.0..1.0),
+        window: *[64, 512, 4_096, 65_536, 65_536].choose(&mut rng).unwrap_or(&65_536),
+        partial: if rng.random_bool(0.5) { rng.random_range(0.0..0.4) } else { 0.0 },
+        lossy: if rng.random_bool(0.5) { rng.random_range(0.0..1.0) } else { 0.0 },
+    };
+    let contract = Contract {
+        deadline_ms: 4_800,
+        target_ms: 800,
+        message_ms: 60,
+        cold_from: 0.3,
+        cold_ms: 9_000,
+        fall_multiple: 4.0,
+        fall_ms: 1_500,
+    };
+    let proxies: Vec<ProxySpec> = (0..rng.random_range(2..=4))
+        .map(|i| ProxySpec {
+            zone: i % 3,
+            descriptors: if rng.random_bool(0.1) { rng.random_range(100..160) } else { 512 },
+            seed: rng.random(),
+        })
+        .collect();
+    let nodes: Vec<NodeSpec> = (0..rng.random_range(5..=10)).map(|i| node(i, &mut rng)).collect();
+    let submitters = submitters(seed, length_ms, proxies.len(), &mut rng);
+    let faults = faults(seed, length_ms, &proxies, &nodes);
+    Script {
+        format: FORMAT,
+        order: stream(seed, "order of the script").random::<u64>() >> 1,
+        length_ms,
+        links,
+        contract,
+        proxies,
+        nodes,
+        submitters,
+        faults,
+    }
+}
+
+fn node(i: usize, rng: &mut Rng) -> NodeSpec {
+    let wide = rng.random_bool(0.5);
+    NodeSpec {
+        name: format!("label-{i}"),
+        zone: rng.random_range(0..3),
+        cores: if wide { 4 } else { 2 },
+        speed: round(if wide { rng.random_range(0.64..0.86) } else { rng.random_range(0.85..1.1) }),
+        per_core: round(rng.random_range(11.0..17.0)),
+        cap: rng.random_range(60..200),
+        queue: rng.random_range(8..40),
+        setup_ms: round(rng.random_range(2.0..15.0)),
+        message_ms: round(rng.random_range(1.0..6.0)),
+        report_ms: rng.random_range(440..1_100),
+        noise: round(rng.random_range(0.0..0.2)),
+        sends_away: rng.random_bool(0.3),
+    }
+}
+
+/// Three digits are enough, and a printed script stays short.
+fn round(value: f64) -> f64 {
+    (value * 1e3).round() / 1e3
+}
+
+fn submitters(seed: u64, length_ms: u64, zones: usize, rng: &mut Rng) -> Vec<SubmitterSpec> {
+    let mut draw = stream(seed, "submitters");
+    let count = rng.random_range(100..170);
+    let groups = rng.random_range(8..60);
+    // Some days a burst of arrivals, some days bad ones, early leavers and slow readers.
+    let burst = rng.random_bool(0.3).then(|| rng.random_range(2_000..length_ms - 4_000));
+    let bad = if rng.random_bool(0.4) { rng.random_range(0.02..0.3) } else { 0.0 };
+    let early = if rng.random_bool(0.4) { rng.random_range(0.02..0.3) } else { 0.0 };
+    let slow = if rng.random_bool(0.2) { 0.05 } else { 0.0 };
+    let retries = rng.random_range(0..=1);
+    (0..count)
+        .map(|i| {
+            let at_ms = match burst {
+                Some(at) if draw.random_bool(0.4) => at + draw.random_range(0..1_500),
+                _ => draw.random_range(0..length_ms * 3 / 4),
+            };
+            SubmitterSpec {
+                at_ms,
+                zone: draw.random_range(0..zones.min(3)),
+                key: i,
+                group: draw.random_range(0..groups),
+                life_ms: draw.random_range(2_000..30_000),
+                load: round(draw.random_range(0.3..1.7)),
+                retries,
+                bad: draw.random_bool(bad).then(|| *BAD.choose(&mut draw).unwrap_or(&BAD[0])),
+                leaves_ms: draw.random_bool(early).then(|| draw.random_range(0..60)),
+                resets: draw.random_bool(0.2),
+                reads_ms: draw.random_bool(slow).then(|| draw.random_range(500..4_000)),
+            }
+        })
+        .collect()
+}
+
+fn faults(seed: u64, length: u64, proxies: &[ProxySpec], nodes: &[NodeSpec]) -> Vec<Fault> {
+    let mut rng = stream(seed, "faults");
+    let share = rng.random_range(0.05..0.5);
+    let mut faults = Vec::new();
+    // One seed in ten has no fault at all.
+    if rng.random_bool(0.1) {
+        return faults;
+    }
+    let begin = 1_000;
+    for kind in 0..KINDS {
+        let mut rng = stream(seed, &format!("fault {kind}"));
+        if !rng.random_bool(share) {
+            continue;
+        }
+        for _ in 0..rng.random_range(1..=3) {
+            let at_ms = rng.random_range(begin..length - 4_000);
+            let until_ms = at_ms + rng.random_range(500..9_000);
+            let node = nodes.choose(&mut rng).map(|node| node.name.clone()).unwrap_or_default();
+            let proxy = rng.random_range(0..proxies.len());
+            let fault = match kind {
+                0 => Fault::Crash { node, at_ms, until_ms: rng.random_bool(0.8).then_some(until_ms) },
+                1 => {
+                    let stop_ms = at_ms + rng.random_range(1_500..8_000);
+                    let back = stop_ms + rng.random_range(200..4_000);
+                    Fault::Drain { node, at_ms, stop_ms, until_ms: rng.random_bool(0.7).then_some(back) }
+                }
+                2 => Fault::Silence { node, at_ms, until_ms: until_ms + 4_000, reset: rng.random_bool(0.5) },
+                3 => Fault::Slow { node, at_ms, until_ms, factor: round(rng.random_range(2.0..10.0)) },
+                4 => Fault::Neighbour { node, at_ms, until_ms, share: round(rng.random_range(0.3..0.75)) },
+                5 => Fault::LateReports { at_ms, until_ms, by_ms: rng.random_range(500..5_000) },
+                6 => Fault::DiscoveryLate { at_ms, until_ms, by_ms: rng.random_range(50..1_000) },
+                7 => Fault::DiscoveryFails { at_ms, until_ms },
+                8 => Fault::DiscoveryCut { at_ms, until_ms },
+                9 => Fault::DiscoveryDown { at_ms, until_ms },
+                10 => Fault::Reload { at_ms },
+                11 => Fault::BadReload { proxy, at_ms },
+                12 => Fault::Restart { proxy, at_ms, until_ms: at_ms + rng.random_range(5_000..7_000) },
+                13 => Fault::Kill { proxy, at_ms, until_ms: at_ms + rng.random_range(300..3_000) },
+                // A quarter of them together.
+                _ => {
+                    let together = nodes.choose_multiple(&mut rng, nodes.len() / 4 + 1);
+                    let lost: Vec<_> = together.map(|node| node.name.clone()).collect();
+                    for node in &lost[1..] {
+                        let node = node.clone();
+                        faults.push(Fault::Crash { node, at_ms, until_ms: Some(until_ms) });
+                    }
+                    Fault::Crash { node: lost[0].clone(), at_ms, until_ms: Some(until_ms) }
+                }
+            };
+            faults.push(fault);
+        }
+    }
+    without_overlaps(faults, length)
+}
+
+/// A process can only be stopped once at a time: what falls into another fault of the same process goes.
+fn without_overlaps(mut faults: Vec<Fault>, length: u64) -> Vec<Fault> {
+    faults.sort_by_key(Fault::span);
+    let mut kept: Vec<Fault> = Vec::new();
+    for fault in faults {
+        let ends = |fault: &Fault| match fault {
+            Fault::Crash { until_ms: None, .. } | Fault::Drain { until_ms: None, .. } => u64::MAX,
+            _ => fault.span().1 + 200,
+        };
+        let process = |fault: &Fault| match fault {
+            Fault::Crash { node, .. } | Fault::Drain { node, .. } | Fault::Silence { node, .. } => {
+                Some(node.clone())
+            }
+            Fault::Restart { proxy, .. } | Fault::Kill { proxy, .. } => Some(format!("proxy {proxy}")),
+            Fault::DiscoveryDown { .. } | Fault::DiscoveryCut { .. } | Fault::Reload { .. } => {
+                Some("discovery".into())
+            }
+            _ => None,
+        };
+        let mine = process(&fault);
+        let clash = mine.is_some() && kept.iter().any(|k| process(k) == mine && ends(k) > fault.span().0);
+        let late = matches!(fault, Fault::Restart { .. }) && fault.span().1 + 1_000 > length;
+        if !clash && !late {
+            kept.push(fault);
+        }
+    }
+    kept
+}
--- /dev/null
+++ b/crates/world/src/panics.rs
@@ -0,0 +1,30 @@
+//! Panics of this thread, counted: a run must bring none, wherever it was caught.
+
+use std::cell::{Cell, RefCell};
+use std::sync::Once;
+
+thread_local! {
+    static SEEN: Cell<u64> = const { Cell::new(0) };
+    static LAST: RefCell<String> = const { RefCell::new(String::new()) };
+}
+
+/// Number of panics on this thread since the first call in the process.
+pub fn seen() -> u64 {
+    static HOOK: Once = Once::new();
+    HOOK.call_once(|| {
+        let before = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |info| {
+            SEEN.with(|seen| seen.set(seen.get() + 1));
+            LAST.with(|last| *last.borrow_mut() = info.to_string().replace('\n', " "));
+            if std::env::var_os("PIERLOOM_PANICS").is_some() {
+                before(info);
+            }
+        }));
+    });
+    SEEN.with(Cell::get)
+}
+
+/// What the last of them said.
+pub fn last() -> String {
+    LAST.with(|last| last.borrow().clone())
+}
