Test the hard cases on the virtual clock, and plant defects in sockets and timers

Need: each hard case has to be seen to occur, and the observer has to be seen to find what it is there for.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -72,7 +72,7 @@
 const LEAST_HOLD: Micros = 10_000;
 /// Part of the cold budget that relays use up in the long run: chance and what is saved take the rest.
 const COLD_PART: f64 = 0.65;
-/// Of it is saved, up to a whole connection where windows hold less; beyond that a burst would spend it; windows.
+/// Of it is saved, up to one connection where windows hold less: a burst would spend what is over; windows.
 const SAVED_WINDOWS: f64 = 8.0;
 /// Time of the list service that one relay's call may take when all relays call; microseconds.
 const CALL: Micros = 20_000;
@@ -726,13 +726,12 @@
     fn tokens(&self, i: usize, now: Micros, share: f64) -> f64 {
         let fall = self.settings.fall as f64 / 1e6;
         let age = now.saturating_sub(self.started.unwrap_or(now)).max(self.admission.tick) as f64 / 1e6;
-        let part = self.weight(i) / self.admission.capacity.max(f64::MIN_POSITIVE);
+        let part = self.weight(i) * COLD_PART / self.admission.capacity.max(f64::MIN_POSITIVE);
         // All relays together send a cold backend a connection in two windows, whatever was seen before.
         let least = 0.5 / (fall * f64::from(self.settings.relays)).max(1e-3);
-        let rate = self.set_ups as f64 / age * part * share * self.settings.fall_multiple * COLD_PART;
-        let (rate, passed) = (rate.max(least), now.saturating_sub(self.backends[i].tokens_at) as f64 / 1e6);
-        (self.backends[i].tokens + rate * passed)
-            .min((rate * fall).max((rate * fall * SAVED_WINDOWS).min(1.0)))
+        let rate = (self.set_ups as f64 / age * part * share * self.settings.fall_multiple).max(least);
+        let (window, passed) = (rate * fall, now.saturating_sub(self.backends[i].tokens_at) as f64 / 1e6);
+        (self.backends[i].tokens + rate * passed).min(window.max((window * SAVED_WINDOWS).min(1.0)))
     }
 
     /// Spends it, parts of a token by chance. Guards against whole tokens saved by each of hundreds.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 use argh::FromArgs;
 use pierloom_lab::defects::Defect;
 use pierloom_world::draw::draw;
+use pierloom_world::observer::Trace;
 use pierloom_world::run::{Options, Report, play};
 use pierloom_world::script::Script;
 use std::path::{Path, PathBuf};
@@ -111,7 +112,8 @@
 fn replay(asked: &Replay) -> Result<bool, String> {
     let script = script(&asked.what)?;
     let build = asked.defect.map(Defect::build);
-    let report = play(&script, &Options { trace: asked.trace, build });
+    let trace = if asked.trace { Trace::Print } else { Trace::None };
+    let report = play(&script, &Options { trace, build, bend: asked.defect.and_then(Defect::bend) });
     if asked.json {
         println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?);
     } else {
--- a/crates/lab/src/seeds.rs
+++ b/crates/lab/src/seeds.rs
@@ -54,7 +54,14 @@
 
 fn play_one(seed: u64, defect: Option<Defect>) -> Played {
     let script = draw(seed);
-    let report = play(&script, &Options { build: defect.map(Defect::build), ..Options::default() });
+    let report = play(
+        &script,
+        &Options {
+            build: defect.map(Defect::build),
+            bend: defect.and_then(Defect::bend),
+            ..Options::default()
+        },
+    );
     Played {
         seed,
         digest: format!("{:016x}", report.digest),
--- a/crates/lab/src/shrink.rs
+++ b/crates/lab/src/shrink.rs
@@ -50,7 +50,11 @@
 
 /// Shrinks it; whether no rule broke in the first place.
 pub fn run(asked: &Shrink) -> Result<bool, String> {
-    let options = Options { build: asked.defect.map(Defect::build), ..Options::default() };
+    let options = Options {
+        build: asked.defect.map(Defect::build),
+        bend: asked.defect.and_then(Defect::bend),
+        ..Options::default()
+    };
     let mut script = crate::script(&asked.what)?;
     let report = play(&script, &options);
     let Some(first) = report.breaches.first() else {
--- a/crates/world/src/observer.rs
+++ b/crates/world/src/observer.rs
@@ -20,6 +20,9 @@
 const SILENT: Micros = 7_000_000;
 /// The next call of a watch comes within this.
 const WATCH: Micros = 200_000;
+/// A call comes this long after the one before at the latest, whatever became of that: the longest hold of ten
+/// seconds, what a proxy may wait beyond it, and its longest pause.
+const ASKED: Micros = 18_000_000;
 /// A proxy calls discovery no more often than this, beside one call for each change; calls in a second.
 const CALLS: usize = 12;
 /// A bad submitter has its error or its close within this.
@@ -32,6 +35,18 @@
 /// Bytes of a crossing that are kept.
 const HEAD: usize = 48;
 
+/// What becomes of everything that crosses the sockets, beside its check.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Trace {
+    /// Nothing.
+    #[default]
+    None,
+    /// It is printed.
+    Print,
+    /// It is kept in words.
+    Keep,
+}
+
 /// What a process is to the rules.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -267,6 +282,8 @@
     /// Since when each execute node runs, as it was told.
     starts: BTreeMap<usize, Micros>,
     answered_at: Option<Micros>,
+    /// When it last asked discovery, or started or was told where discovery is.
+    asked_at: Micros,
     calls: VecDeque<Micros>,
     changes: VecDeque<Micros>,
     claims: BTreeMap<String, usize>,
@@ -317,7 +334,9 @@
     digest: Xxh3,
     next_sweep: Micros,
     now: Micros,
-    print: bool,
+    trace: Trace,
+    /// Every crossing in words, where it was asked for.
+    pub told: Vec<String>,
     /// Broken rules, in order; at most a few of each run are kept.
     pub breaches: Vec<Breach>,
     /// What the run held.
@@ -329,7 +348,7 @@
 
 impl Observer {
     /// An observer of that many proxies and of execute nodes of those names.
-    pub fn new(proxies: usize, nodes: &[String], cold: ColdRule, print: bool) -> Self {
+    pub fn new(proxies: usize, nodes: &[String], cold: ColdRule, trace: Trace) -> Self {
         Observer {
             cold,
             roles: Vec::new(),
@@ -342,7 +361,8 @@
             digest: Xxh3::new(),
             next_sweep: EPOCH + SWEEP,
             now: EPOCH,
-            print,
+            trace,
+            told: Vec::new(),
             breaches: Vec::new(),
             counts: Counts::default(),
         }
@@ -358,7 +378,7 @@
         self.roles.resize(self.roles.len().max(process + 1), (Role::Other, String::new()));
         self.roles[process] = (role, name.to_string());
         if let Role::Proxy(i) = role {
-            self.proxies[i] = Proxy { process, running: true, ..Proxy::default() };
+            self.proxies[i] = Proxy { process, running: true, asked_at: self.now, ..Proxy::default() };
         }
     }
 
@@ -510,8 +530,13 @@
         let mark = [self.now, connection as u64, end as u64 * 3 + phase as u64, code];
         mark.into_iter().for_each(|part| self.digest.update(&part.to_le_bytes()));
         let crossing = Crossing { at: self.now, connection, end, phase, what };
-        if self.print {
-            println!("{}", self.show(&crossing));
+        match self.trace {
+            Trace::None => {}
+            Trace::Print => println!("{}", self.show(&crossing)),
+            Trace::Keep => {
+                let words = self.show(&crossing);
+                self.told.push(words);
+            }
         }
         if self.kept.len() == KEPT {
             self.kept.pop_front();
@@ -529,6 +554,13 @@
         self.now = to;
     }
 
+    /// A process dials a machine, whether it is answered or not.
+    pub fn dialled(&mut self, from: ProcessId, machine: ProcessId) {
+        if let (Role::Proxy(proxy), Role::Discovery) = (self.roles[from].0, self.roles[machine].0) {
+            self.proxies[proxy].asked_at = self.now;
+        }
+    }
+
     /// A connection was made.
     pub fn opened(&mut self, now: Micros, connection: usize, from: ProcessId, to: ProcessId) {
         self.now = now;
@@ -617,15 +649,16 @@
             }
             return;
         }
+        // A bad one has no job, and may send megabytes.
+        if s.bad {
+            return;
+        }
         s.line.extend_from_slice(bytes);
         while let Some(at) = s.line.iter().position(|&byte| byte == b'\n') {
             let line: Vec<u8> = s.line.drain(..=at).collect();
             let Some(text) = std::str::from_utf8(&line).ok().filter(|text| text.starts_with("OPEN ")) else {
                 continue;
             };
-            if s.bad {
-                continue;
-            }
             let mut words = text.split_whitespace();
             let id = words.nth(1).unwrap_or_default().to_string();
             let fields = words.nth(1).unwrap_or_default();
@@ -939,6 +972,7 @@
             }
         }
         proxy.calls.push_back(now);
+        proxy.asked_at = now;
         let (calls, changes) = (proxy.calls.len(), proxy.changes.len());
         if since.is_some_and(|at| now > at + WATCH + GRACE) {
             let late = now - since.unwrap_or(now);
@@ -1072,6 +1106,11 @@
                 proxy.answered_at = None;
                 self.breach(Rule::WatchGap, None, format!("proxy {index} does not carry its watch on"));
             }
+            let proxy = &mut self.proxies[index];
+            if now > proxy.asked_at + ASKED + GRACE && proxy.running && proxy.stopping.is_none() {
+                proxy.asked_at = now;
+                self.breach(Rule::WatchGap, None, format!("proxy {index} has not asked for so long"));
+            }
         }
     }
 
--- a/crates/world/src/panics.rs
+++ b/crates/world/src/panics.rs
@@ -4,6 +4,7 @@
 use std::sync::Once;
 
 thread_local! {
+    static PLAYING: Cell<bool> = const { Cell::new(false) };
     static SEEN: Cell<u64> = const { Cell::new(0) };
     static LAST: RefCell<String> = const { RefCell::new(String::new()) };
 }
@@ -16,7 +17,8 @@
         std::panic::set_hook(Box::new(move |info| {
             SEEN.with(|seen| seen.set(seen.get() + 1));
             LAST.with(|last| *last.borrow_mut() = info.to_string().replace('\n', " "));
-            if std::env::var_os("PIERLOOM_PANICS").is_some() {
+            // A run reports its own; those of others are printed as ever.
+            if !PLAYING.with(Cell::get) {
                 before(info);
             }
         }));
@@ -24,6 +26,11 @@
     SEEN.with(Cell::get)
 }
 
+/// Says that a run begins on this thread, or ends: its panics are counted and not printed.
+pub fn playing(now: bool) {
+    PLAYING.with(|playing| playing.set(now));
+}
+
 /// What the last of them said.
 pub fn last() -> String {
     LAST.with(|last| last.borrow().clone())
--- a/crates/world/src/script.rs
+++ b/crates/world/src/script.rs
@@ -79,8 +79,11 @@
 pub struct ProxySpec {
     /// Its zone; 0 to 2.
     pub zone: usize,
-    /// Descriptors that it may hold and is told of.
+    /// Descriptors that it may hold.
     pub descriptors: usize,
+    /// Descriptors that its config speaks of, where they are others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub told_descriptors: Option<usize>,
     /// Seed of its module's random numbers.
     pub seed: u64,
 }
@@ -169,7 +172,7 @@
     Half,
     /// Hundreds of commands at once.
     Commands,
-    /// A value of megabytes.
+    /// A value of a hundred thousand bytes and more.
     Huge,
 }
 
