--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -1,5 +1,5 @@
 //! All decisions of the balancer, to be read top to bottom. Types, events and actions: `src/api.rs`.
-//! Ordinary path: admission by the learned curve, then the table pick. Exceptions: docs/design.md.
+//! Ordinary path: admission by the learned curve, then the table pick. Exceptions: docs/design/module.md.
 
 use crate::api::*;
 pub use crate::state::Balancer;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -127,7 +127,19 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let arguments = match Arguments::from_args(&["pierloom-lab"], &words) {
+        Ok(arguments) => arguments,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(early) => {
+            eprintln!("pierloom-lab: {}", early.output.lines().next().unwrap_or_default());
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
     let done = match arguments.command {
         Command::Seeds(asked) => seeds::run(&asked),
         Command::Replay(asked) => replay(&asked),
--- /dev/null
+++ b/crates/lab/tests/common/mod.rs
@@ -0,0 +1,62 @@
+//! A small site that the tests change as they need.
+
+use pierloom_world::script::{Contract, FORMAT, LinkSpec, NodeSpec, ProxySpec, Script, SubmitterSpec};
+
+/// Two proxies, six execute nodes, and a submitter every `gap` milliseconds.
+pub fn calm(submitters: u64, gap: u64) -> Script {
+    let node = |i: usize| NodeSpec {
+        name: format!("label-{i}"),
+        zone: i % 2,
+        cores: 2,
+        speed: 1.0,
+        per_core: 14.0,
+        cap: 100,
+        queue: 20,
+        setup_ms: 10.0,
+        message_ms: 2.0,
+        report_ms: 600,
+        noise: 0.1,
+        sends_away: false,
+    };
+    let submitter = |i: u64| SubmitterSpec {
+        at_ms: 500 + i * gap,
+        zone: (i % 2) as usize,
+        key: i,
+        group: i % 12,
+        life_ms: 20_000,
+        load: 1.0,
+        retries: 1,
+        bad: None,
+        leaves_ms: None,
+        resets: false,
+        reads_ms: None,
+    };
+    Script {
+        format: FORMAT,
+        order: 1,
+        length_ms: 20_000,
+        links: LinkSpec {
+            same_us: 200,
+            cross_us: 3_000,
+            jitter: 0.2,
+            window: 4_096,
+            partial: 0.0,
+            lossy: 0.0,
+        },
+        contract: Contract {
+            deadline_ms: 4_800,
+            target_ms: 800,
+            message_ms: 60,
+            cold_from: 0.3,
+            cold_ms: 9_000,
+            fall_multiple: 4.0,
+            fall_ms: 1_500,
+        },
+        proxies: (0..2)
+            .map(|i| ProxySpec { zone: i, descriptors: 512, told_descriptors: None, seed: i as u64 })
+            .collect(),
+        nodes: (0..6).map(node).collect(),
+        submitters: (0..submitters).map(submitter).collect(),
+        faults: Vec::new(),
+    }
+}
--- a/crates/lab/tests/hard_cases.rs
+++ b/crates/lab/tests/hard_cases.rs
@@ -1,72 +1,16 @@
 //! The hard cases, each brought about on the virtual clock, with a look at the crossings that shows it occurred.
 
+mod common;
+
+use common::calm;
 use pierloom_host::Micros;
 use pierloom_world::observer::Trace;
 use pierloom_world::run::{Options, Report, alone, play};
-use pierloom_world::script::{Contract, FORMAT, Fault, LinkSpec, NodeSpec, ProxySpec, Script, SubmitterSpec};
+use pierloom_world::script::{Fault, Script};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// Two proxies, six execute nodes, and a submitter every `gap` milliseconds.
-fn calm(submitters: u64, gap: u64) -> Script {
-    let node = |i: usize| NodeSpec {
-        name: format!("label-{i}"),
-        zone: i % 2,
-        cores: 2,
-        speed: 1.0,
-        per_core: 14.0,
-        cap: 100,
-        queue: 20,
-        setup_ms: 10.0,
-        message_ms: 2.0,
-        report_ms: 600,
-        noise: 0.1,
-        sends_away: false,
-    };
-    let submitter = |i: u64| SubmitterSpec {
-        at_ms: 500 + i * gap,
-        zone: (i % 2) as usize,
-        key: i,
-        group: i % 12,
-        life_ms: 20_000,
-        load: 1.0,
-        retries: 1,
-        bad: None,
-        leaves_ms: None,
-        resets: false,
-        reads_ms: None,
-    };
-    Script {
-        format: FORMAT,
-        order: 1,
-        length_ms: 20_000,
-        links: LinkSpec {
-            same_us: 200,
-            cross_us: 3_000,
-            jitter: 0.2,
-            window: 4_096,
-            partial: 0.0,
-            lossy: 0.0,
-        },
-        contract: Contract {
-            deadline_ms: 4_800,
-            target_ms: 800,
-            message_ms: 60,
-            cold_from: 0.3,
-            cold_ms: 9_000,
-            fall_multiple: 4.0,
-            fall_ms: 1_500,
-        },
-        proxies: (0..2)
-            .map(|i| ProxySpec { zone: i, descriptors: 512, told_descriptors: None, seed: i as u64 })
-            .collect(),
-        nodes: (0..6).map(node).collect(),
-        submitters: (0..submitters).map(submitter).collect(),
-        faults: Vec::new(),
-    }
-}
-
 /// Plays it in that many orders; each keeps the rules. Everything that crossed, run by run.
 fn keeps_the_rules(script: &Script, orders: u64) -> Vec<Report> {
     (0..orders)
@@ -126,9 +70,11 @@
         // Some leave while their opening is on its way.
         submitter.leaves_ms = (i % 4 == 0).then_some(0);
     }
-    for (node, at_ms) in [("label-0", 4_000), ("label-1", 6_000), ("label-2", 8_000)] {
-        let node = node.to_string();
-        script.faults.push(Fault::Crash { node, at_ms, until_ms: Some(at_ms + 3_000) });
+    for at_ms in (2_000..9_000).step_by(1_000) {
+        for i in 0..6 {
+            let (node, at_ms) = (format!("label-{i}"), at_ms + i * 70);
+            script.faults.push(Fault::Crash { node, at_ms, until_ms: Some(at_ms + 500) });
+        }
     }
     let reports = keeps_the_rules(&script, 6);
     // Bytes that a side sent on a connection that it then reset, and that never arrived.
--- a/crates/lab/tests/seeds.rs
+++ b/crates/lab/tests/seeds.rs
@@ -81,8 +81,8 @@
     let fault = |text: &str| format!("{good}\n[[fault]]\n{text}");
     let lines = good.lines().count();
     let cases = [
-        (fault("kind = \"earthquake\"\nat_ms = 5\n"), lines + 2, "fault"),
-        (fault("kind = \"reload\"\nat_ms = -5\n"), lines + 2, "fault"),
+        (fault("kind = \"earthquake\"\nat_ms = 5\n"), lines + 3, "kind"),
+        (fault("kind = \"reload\"\nat_ms = -5\n"), lines + 4, "at_ms"),
         (fault("kind = \"discovery-down\"\nat_ms = 9\nuntil_ms = 3\n"), lines + 5, "until_ms"),
         (fault("kind = \"crash\"\nnode = \"nobody\"\nat_ms = 9\n"), lines + 4, "node"),
         (fault("kind = \"kill\"\nproxy = 9\nat_ms = 9\nuntil_ms = 10\n"), lines + 4, "proxy"),
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod node;
 pub mod observer;
 pub mod panics;
+pub mod real;
 pub mod rng;
 pub mod run;
 pub mod script;
--- a/crates/world/src/run.rs
+++ b/crates/world/src/run.rs
@@ -66,13 +66,19 @@
     /// Share of the time that usual submitters wanted in which they were served, times the share of lines that
     /// were answered in time.
     pub fn service(&self) -> f64 {
-        let sum = |part: fn(&Outcome) -> f64| self.outcomes.iter().map(part).sum::<f64>();
-        let (stood, wanted) = (sum(|o| o.stood as f64), sum(|o| o.wanted as f64));
-        let (in_time, lines) = (sum(|o| f64::from(o.in_time)), sum(|o| f64::from(o.lines)));
-        if wanted == 0.0 || lines == 0.0 { 0.0 } else { stood / wanted * in_time / lines }
+        service(&self.outcomes)
     }
 }
 
+/// Share of the time that usual submitters wanted in which they were served, times the share of lines that were
+/// answered in time.
+pub fn service(outcomes: &[Outcome]) -> f64 {
+    let sum = |part: fn(&Outcome) -> f64| outcomes.iter().map(part).sum::<f64>();
+    let (stood, wanted) = (sum(|o| o.stood as f64), sum(|o| o.wanted as f64));
+    let (in_time, lines) = (sum(|o| f64::from(o.in_time)), sum(|o| f64::from(o.lines)));
+    if wanted == 0.0 || lines == 0.0 { 0.0 } else { stood / wanted * in_time / lines }
+}
+
 /// How to play.
 #[derive(Clone, Default)]
 pub struct Options {
@@ -116,6 +122,55 @@
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 2, 0, place + 1)), 8500)
 }
 
+/// What discovery says of an execute node at that address.
+pub(crate) fn entry(
+    script: &Script,
+    index: usize,
+    address: SocketAddr,
+    status: &'static str,
+    since: Option<Micros>,
+) -> Entry {
+    let spec = &script.nodes[index];
+    Entry {
+        name: spec.name.clone(),
+        address: address.to_string(),
+        zone: ZONES[spec.zone].into(),
+        status,
+        weight: f64::from(spec.cores),
+        since_ms: since.map_or(0, |at| at / 1_000),
+    }
+}
+
+/// The config of a proxy as the platform writes it.
+pub(crate) fn config_text(
+    script: &Script,
+    index: usize,
+    seed: u64,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    known: &str,
+) -> String {
+    let (spec, contract) = (&script.proxies[index], &script.contract);
+    let seconds = |ms: u64| ms as f64 / 1e3;
+    let settings = serde_json::json!({
+        "balancers": script.proxies.len(),
+        "zone": ZONES[spec.zone], "zones": ZONES, "membership-mode": "ask", "weights": "nominal",
+        "bounds": {"max-attempts": 4, "connect-timeout": 0.2, "retry-after": true, "max-retry-after": 2.0,
+                   "may-probe": true},
+        "classes": [{"name": "status-feed", "target": seconds(contract.target_ms),
+                     "deadline": seconds(contract.deadline_ms), "effect": "repeatable", "group": "all"}],
+        "contract": {"ask-within": 10.0, "cold": seconds(contract.cold_ms), "cold-from": contract.cold_from,
+                     "fall": seconds(contract.fall_ms), "fall-multiple": contract.fall_multiple},
+        "family-info": {"groups": true, "message-aim": [seconds(contract.message_ms)]},
+        "feedback": {"columns": ["x0", "latency_ms", "eps", "util"], "how": "probe"},
+        "penalties": {"cross-zone": 0.08},
+    });
+    let sockets = spec.told_descriptors.unwrap_or(spec.descriptors);
+    format!(
+        r#"{{"name":"p{index}","listen":"{listen}","discovery":"{discovery}","seed":"{seed:016x}","limits":{{"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+    )
+}
+
 /// Plays a script to its end.
 pub fn play(script: &Script, options: &Options) -> Report {
     let links = Links {
@@ -269,42 +324,14 @@
     }
 
     fn entry(&self, index: usize, status: &'static str, since: Option<Micros>) -> Entry {
-        let spec = &self.script.nodes[index];
-        Entry {
-            name: spec.name.clone(),
-            address: node_address(index).to_string(),
-            zone: ZONES[spec.zone].into(),
-            status,
-            weight: f64::from(spec.cores),
-            since_ms: since.map_or(0, |at| at / 1_000),
-        }
+        entry(&self.script, index, node_address(index), status, since)
     }
 
     fn config(&self, index: usize) -> String {
-        let (spec, contract) = (&self.script.proxies[index], &self.script.contract);
-        let seconds = |ms: u64| ms as f64 / 1e3;
-        let settings = serde_json::json!({
-            "balancers": self.script.proxies.len(),
-            "zone": ZONES[spec.zone], "zones": ZONES, "membership-mode": "ask", "weights": "nominal",
-            "bounds": {"max-attempts": 4, "connect-timeout": 0.2, "retry-after": true, "max-retry-after": 2.0,
-                       "may-probe": true},
-            "classes": [{"name": "status-feed", "target": seconds(contract.target_ms),
-                         "deadline": seconds(contract.deadline_ms), "effect": "repeatable", "group": "all"}],
-            "contract": {"ask-within": 10.0, "cold": seconds(contract.cold_ms), "cold-from": contract.cold_from,
-                         "fall": seconds(contract.fall_ms), "fall-multiple": contract.fall_multiple},
-            "family-info": {"groups": true, "message-aim": [seconds(contract.message_ms)]},
-            "feedback": {"columns": ["x0", "latency_ms", "eps", "util"], "how": "probe"},
-            "penalties": {"cross-zone": 0.08},
-        });
         // A start of its own draws numbers of its own.
-        let seed = spec.seed.wrapping_add(self.starts.replace(self.starts.get() + 1));
-        format!(
-            r#"{{"name":"p{index}","listen":"{}","discovery":"{}","seed":"{seed:016x}","limits":{{"sockets":{}}},"known":{},"settings":{settings}}}"#,
-            proxy_address(index),
-            discovery_address(self.place.get()),
-            spec.told_descriptors.unwrap_or(spec.descriptors),
-            self.book.whole(),
-        )
+        let seed = self.script.proxies[index].seed.wrapping_add(self.starts.replace(self.starts.get() + 1));
+        let discovery = discovery_address(self.place.get());
+        config_text(&self.script, index, seed, proxy_address(index), discovery, &self.book.whole())
     }
 
     fn start_proxy(self: &Rc<Self>, index: usize) {
--- a/crates/world/src/script.rs
+++ b/crates/world/src/script.rs
@@ -400,7 +400,10 @@
         let deserializer = toml::Deserializer::parse(text).map_err(|e| fault("", &e))?;
         let script: Script = serde_path_to_error::deserialize(deserializer).map_err(|e| {
             let key = e.path().to_string();
-            fault(&key, e.inner())
+            match literal_of(text, &key, e.inner().message()) {
+                Some((at, within)) => format!("{name}: line {at}: {key}.{within}: {}", e.inner().message()),
+                None => fault(&key, e.inner()),
+            }
         })?;
         script.check().map_err(|(table, place, key, why)| {
             let at = place_of(text, table, place, key);
@@ -475,6 +478,24 @@
     }
 }
 
+/// A fault's table is read before its kind says what its keys are, and where in it something is wrong gets lost.
+/// The line and the key of the value that the message quotes; without one, those of the table's kind.
+fn literal_of(text: &str, path: &str, message: &str) -> Option<(usize, String)> {
+    let place: usize = path.strip_prefix("fault[")?.strip_suffix(']')?.parse().ok()?;
+    let literal = message.split('`').nth(1).unwrap_or_default();
+    let tables = text.lines().enumerate().filter(|(_, line)| line.trim() == "[[fault]]");
+    let (begin, _) = tables.clone().nth(place)?;
+    let end = tables.clone().nth(place + 1).map_or(usize::MAX, |(at, _)| at);
+    let keys = text.lines().enumerate().take(end).skip(begin + 1).filter_map(|(at, line)| {
+        let (key, value) = line.split_once('=')?;
+        Some((at + 1, key.trim().to_string(), value.trim().trim_matches('"').to_string()))
+    });
+    let found = keys.clone().find(|(_, _, value)| value == literal);
+    let found = found.or_else(|| keys.clone().find(|(_, key, _)| key == literal));
+    let found = found.or_else(|| keys.clone().find(|(_, key, _)| key == "kind"));
+    found.map(|(at, key, _)| (at, key))
+}
+
 /// The line of a key in the so-manieth table of that name.
 fn place_of(text: &str, table: &str, place: usize, key: &str) -> usize {
     let (mut seen, mut last) = (0, 1);
