--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -103,6 +103,8 @@
     said: Option<Reply>,
     /// When a move was first wanted.
     move_wanted: Option<Micros>,
+    /// The last word to the submitter is in the buffer, or out.
+    farewell: bool,
     ended_at: Option<Micros>,
 }
 
@@ -164,7 +166,8 @@
     /// Passes on what is there, both ways; an error is a reset of that side.
     fn pass(&mut self, submitter: &TcpStream, node: &TcpStream) -> Result<(), Broke> {
         // Down first: what an execute node said before it closed is still there to read, and a write to it fails.
-        if self.down.read(node).map_err(|_| Broke::Node)? > 0 {
+        // After the last word nothing may follow.
+        if !self.farewell && self.down.read(node).map_err(|_| Broke::Node)? > 0 {
             self.went_down();
         }
         self.down.write(submitter).map_err(|_| Broke::Submitter)?;
@@ -228,6 +231,7 @@
         stalled: false,
         said: None,
         move_wanted: None,
+        farewell: false,
         ended_at: None,
     };
     // The answer that brought the connection up is no answer to a message; what came behind it may be.
@@ -261,11 +265,18 @@
         }
         if let Some(wanted) = relay.move_wanted.filter(|_| relay.ended_at.is_none()) {
             let between = relay.down.buffer.is_empty() && !relay.down_lines.within;
-            if between || !relay.stalled && now >= wanted + HALF_LINE {
+            if between && !relay.farewell {
+                // The execute node is let go only when the word is out: a submitter that reads late gets it late.
+                relay.farewell = true;
+                relay.down.buffer.extend_from_slice(front.farewell());
+                continue;
+            }
+            if relay.farewell && relay.down.buffer.is_empty()
+                || !relay.farewell && !relay.stalled && now >= wanted + HALF_LINE
+            {
                 drop(node);
-                let farewell = if between { front.farewell() } else { b"" };
                 relay.seat.end(Status::Cancelled);
-                answer(core, submitter, farewell).await;
+                answer(core, submitter, b"").await;
                 return ending(Cause::Left);
             }
         }
