--- a/crates/world/src/lines.rs
+++ b/crates/world/src/lines.rs
@@ -34,21 +34,6 @@
             }
         }
     }
-
-    /// Exactly that many bytes that follow; none at the end of the connection.
-    pub async fn exactly(&mut self, bytes: usize) -> Option<Vec<u8>> {
-        while self.buffer.len() < bytes {
-            let mut part = [0; 4096];
-            self.stream.readable().await;
-            match self.stream.try_read(&mut part) {
-                Ok(0) => return None,
-                Ok(read) => self.buffer.extend_from_slice(&part[..read]),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return None,
-            }
-        }
-        Some(self.buffer.drain(..bytes).collect())
-    }
 }
 
 /// Writes everything.
