Begin the drain moves of many relays by chance within a second

Cause: `clear_out` and `move_off` in logic.rs move one in twenty, one at least, every 100 ms. That paces a relay that holds forty there. Of a hundred relays each holds one, which goes in the first round, 100 ms after the list told all of them at once.

The new test saw 47 of 47 begin within a tenth of a second without the change.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -94,6 +94,8 @@
 const WATCH_GAP: Micros = 3_000_000;
 /// Gap between rounds of moves off backends that leave; microseconds.
 const EMPTY_GAP: Micros = 100_000;
+/// Among many relays the first round comes by chance within this: each has one or two there; microseconds.
+const EMPTY_SPREAD: Micros = 1_000_000;
 /// Part of them moved in a round, one at least: most are away within two seconds, and not all at once.
 const EMPTY_PART: usize = 20;
 
@@ -292,11 +294,12 @@
     /// Exception "leaving": guards against a backend that stops under its clients: they are moved away once.
     fn clear_out(&mut self, i: usize, out: &mut Vec<Action>) {
         if self.barred(i) && self.queue_to_leave(i) {
-            out.push(Action::Timer(EMPTY_GAP, EMPTY));
+            let gap = if self.many() { self.rng.u64(0..=EMPTY_SPREAD) } else { EMPTY_GAP };
+            out.push(Action::Timer(gap, EMPTY));
         }
     }
 
-    /// One round of those moves. A backend that is listed as ready again keeps the rest.
+    /// One round of those moves. A backend that is ready again keeps the rest.
     fn move_off(&mut self, out: &mut Vec<Action>) {
         let mut left = self.leaving.len().div_ceil(EMPTY_PART);
         while left > 0 {
@@ -471,8 +474,7 @@
         let (first, second) = self.table.pair(key).ok_or(Micros::MAX)?;
         let informed = self.informed(now);
         let strained = self.strained(now) && !informed;
-        // Exception "come back": guards against a loop over a backend that sheds or is slow. A client that
-        // comes back was cut off or moved, most likely where its hash sent it, and we may not know of that.
+        // Exception "come back": guards against a loop over a backend that sheds or is slow, unknown to us.
         let mut skipped = 0;
         if work.request.returning && !self.vouched(first, now) {
             skipped = (0..FURTHER_ENTRIES as usize).take_while(|_| self.rng.bool()).count();
@@ -529,8 +531,7 @@
         if self.cold_share(i, now).is_some() { own.max(mean) } else { own }
     }
 
-    /// When this backend takes that request, as far as we know: now, at the end of a slow spell, at its next
-    /// trial, or never.
+    /// When this backend takes that request, as far as we know: now, after a slow spell or gap, or never.
     fn room_at(&self, now: Micros, work: &Work, i: usize, trusting: bool) -> Micros {
         if work.tried.contains(&i) || !self.allowed(now, work, i) {
             return Micros::MAX;
@@ -561,8 +562,7 @@
         now < backend.probed_at + self.settings.connect_timeout && self.vain_probes < VAIN_PROBES
     }
 
-    /// Exception "unproven": guards against a list that names what is not there, or withdraws what serves.
-    /// Where probes are allowed they try it first; true where one is out and the request goes elsewhere.
+    /// Exception "unproven": guards against a list that is wrong. True where a probe tries it first.
     fn ask_unproven(&mut self, i: usize, now: Micros, out: &mut Vec<Action>) -> bool {
         let backend = &mut self.backends[i];
         if !self.settings.may_probe || backend.asked >= PROBES_A_TRIAL {
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -91,3 +91,27 @@
     // by the rule: 29 in these 9 s. While warm its part of the requests would be 6.
     assert!((4..=29).contains(&sent), "{sent} of 45 went to the cold backend");
 }
+
+/// Guards against the moves of a drain begun in the same instant: with one connection there each, rounds of
+/// one in twenty spread nothing over the fleet.
+#[test]
+fn relays_do_not_empty_a_draining_backend_in_the_same_instant() {
+    let (mut relays, reports) = (fleet(2), Reports::new());
+    let mut draining = members(2)[0].clone();
+    draining.state = MemberState::Draining;
+    let (mut gaps, mut held) = (Vec::new(), 0);
+    for (k, d) in relays.iter_mut().enumerate() {
+        let placed = place(d, k as u64, &reports);
+        d.now += S;
+        let told = d.list(ListKind::Delta, vec![draining.clone()]);
+        held += usize::from(placed == Some(draining.backend.clone()));
+        gaps.extend(told.iter().filter_map(|action| match action {
+            Action::Timer(gap, 3) => Some(*gap),
+            _ => None,
+        }));
+    }
+    assert!(held > 20 && gaps.len() == held, "{held} relays hold one there, {} begin", gaps.len());
+    let most = (0..10).map(|k| gaps.iter().filter(|&&gap| gap / (100 * MS) == k).count()).max();
+    assert!(most.is_some_and(|most| most <= held / 3), "{most:?} of {held} begin within a tenth of a second");
+    assert!(gaps.iter().all(|&gap| gap <= S), "and all within a second");
+}
