Write a ledger line a second to the log, and sum a fleet's with pierloom-lab

Need: one of a hundred proxies sees two jobs in ten seconds, so that what the fleet does together shows in no single log; until now it took a patched build to count it.

Change: `crates/proxy/src/ledger.rs` counts what passes between core and module and writes one line for each second in which something happened: jobs, claims (far, cold, failed by how), set-up waits, probes, discovery calls, moves by cause, age of the machine list. `pierloom-lab ledger FOLDER` adds the lines of all logs, text or JSON, and names one that it cannot read by file and number.

Decisions do not change.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::disallowed_types, clippy::disallowed_methods)] // a tool on the real machine, not the proxy
 //! `pierloom-lab`: seeds, replays, shrinking and digests on the proxy's simulated world.
 
+mod ledger;
 mod seeds;
 mod shrink;
 
@@ -29,6 +30,7 @@
     Script(Print),
     Shrink(shrink::Shrink),
     Digest(Digest),
+    Ledger(ledger::Ledger),
 }
 
 /// Play one seed or one script, and say which rules broke and what led there.
@@ -148,6 +150,7 @@
             true
         }),
         Command::Shrink(asked) => shrink::run(&asked),
+        Command::Ledger(asked) => ledger::run(&asked),
         Command::Digest(asked) => script(&asked.what).map(|script| {
             println!("{:016x}", play(&script, &Options::default()).digest);
             true
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -1,6 +1,7 @@
 //! Owns the decision module, its clock and its deadlines: hands events in and actions out. Knows no front.
 
 use crate::deadlines::Deadlines;
+use crate::ledger::{Cause, Ledger};
 use pierloom_decision::{
     Action, BackendId, Balancer, Ended, Event, Micros, Note, RequestId, Settings, Status,
 };
@@ -69,6 +70,7 @@
     asked: Notify,
     probes: UnboundedSender<BackendId>,
     noted: RefCell<BTreeMap<BackendId, Noted>>,
+    ledger: RefCell<Ledger>,
     /// Rung when the last job has left.
     idle: Notify,
     /// Set when the process is about to end, and rung then.
@@ -86,6 +88,7 @@
         let (probes, asked_probes) = unbounded_channel();
         let core = Core {
             module: RefCell::new(module),
+            ledger: RefCell::new(Ledger::new(&settings, host.now())),
             settings,
             deadlines: Deadlines::new(host.clone()),
             host,
@@ -113,8 +116,10 @@
 
     /// Hands an event to the module and its actions to whom they concern.
     pub fn tell(&self, event: Event) {
-        let mut actions = Vec::new();
-        self.module.borrow_mut().decide(self.now(), event, &mut actions);
+        let (mut actions, now, cause) = (Vec::new(), self.now(), Cause::of(&event));
+        self.book(now, &event);
+        self.module.borrow_mut().decide(now, event, &mut actions);
+        actions.iter().for_each(|action| self.ledger.borrow_mut().wanted(now, action, cause));
         for action in actions {
             match action {
                 Action::Send { id, backend, until } => self.order(id, Order::Claim { node: backend, until }),
@@ -129,6 +134,15 @@
         }
     }
 
+    /// Enters an event in the ledger, after the line of the second that it closes, if any.
+    fn book(&self, now: Micros, event: &Event) {
+        let line = self.ledger.borrow_mut().turn(now);
+        if let Some(line) = line {
+            tracing::info!(target: "ledger", "{line}");
+        }
+        self.ledger.borrow_mut().told(now, event);
+    }
+
     /// A job that left meanwhile needs no orders.
     pub fn order(&self, id: RequestId, order: Order) {
         if let Some(job) = self.jobs.borrow().get(&id) {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod deadlines;
 pub mod front;
 mod job;
+mod ledger;
 mod listener;
 mod probe;
 mod relay;
