Meet a count of balancers that cannot be with a default and one log line

Need: the count tunes budgets and spreads calls, and decides nothing that a proxy could not start without; yet 0, a missing or a huge one, or no number at all ended the proxy at its start.

Cause: `WireSettings.balancers` in crates/wire/src/lib.rs was a required whole number, and 0 was refused by `Settings::check`. Change: anything but 1 to 100,000 is taken as 16, too few for what applies to many relays and enough that nothing is asked for in step; the proxy logs one line, and `pierloom check` says the same.

Seen: with 0, `check` and `serve` name the value and the default, and the proxy listens.

--- a/crates/pierloom/src/main.rs
+++ b/crates/pierloom/src/main.rs
@@ -77,7 +77,8 @@
         }
         _ => {
             let config = config(host, check.config)?;
-            Ok(format!("good: {} would listen on {}", config.name, config.listen))
+            let doubts: String = config.names.doubts.iter().map(|doubt| format!("; {doubt}")).collect();
+            Ok(format!("good: {} would listen on {}{doubts}", config.name, config.listen))
         }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -52,6 +52,7 @@
     let Parts { module, front } = parts;
     let (core, probes) = Core::new(host.clone(), config.settings, module);
     let names = config.names;
+    names.doubts.iter().for_each(|doubt| tracing::warn!(target: "config", "{doubt}"));
     discovery::enter_known(&core, &names, &config.known);
     let known = Cell::new(Some(config.known.index()));
     // Before anyone can know of this proxy: a signal without its handler would end it.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -42,6 +42,8 @@
     classes: BTreeMap<String, usize>,
     zones: BTreeMap<String, u16>,
     columns: Vec<String>,
+    /// What was wrong with the settings and is met with a default; one plain line each.
+    pub doubts: Vec<String>,
 }
 
 impl Names {
@@ -134,7 +136,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireSettings {
-    balancers: u32,
+    #[serde(default)]
+    balancers: serde_json::Value,
     classes: Vec<WireClass>,
     #[serde(default)]
     zones: Vec<String>,
@@ -158,6 +161,23 @@
     weights: String,
 }
 
+/// Relays assumed where their number is not stated or cannot be: enough that nothing is asked for in step, and not
+/// so many that the budgets of a large fleet apply.
+const USUAL_RELAYS: u32 = 16;
+/// More relays than this are no fleet, but a mistake.
+const MOST_RELAYS: u32 = 100_000;
+
+/// The number of relays, and what is wrong with it, if anything.
+fn relays(stated: &serde_json::Value) -> (u32, Option<String>) {
+    let number =
+        stated.as_u64().and_then(|n| u32::try_from(n).ok()).filter(|n| (1..=MOST_RELAYS).contains(n));
+    let shown: String = stated.to_string().chars().take(40).collect();
+    let shown = if stated.is_null() { "not stated".to_string() } else { shown };
+    let doubt =
+        || format!("settings: balancers is {shown}, not 1 to {MOST_RELAYS}: {USUAL_RELAYS} are assumed");
+    (number.unwrap_or(USUAL_RELAYS), number.is_none().then(doubt))
+}
+
 fn micros(seconds: f64) -> Micros {
     (seconds.max(0.0) * 1e6).round() as Micros
 }
@@ -201,6 +221,8 @@
         let next = names.zones.len() as u16;
         names.zones.entry(zone.clone()).or_insert(next);
     }
+    let (relays, doubt) = relays(&wire.balancers);
+    names.doubts.extend(doubt);
     let next = names.zones.len() as u16;
     let zone = *names.zones.entry(wire.zone.clone()).or_insert(next);
     let mut classes = Vec::new();
@@ -239,7 +261,7 @@
     let column =
         |name: &str| wire.feedback.columns.iter().position(|c| c == name).filter(|_| wire.bounds.may_probe);
     let settings = Settings {
-        relays: wire.balancers,
+        relays,
         zone,
         classes,
         max_attempts: wire.bounds.max_attempts.unwrap_or(base.max_attempts),
