Say that a burst at all of many relays can overrun a cold node

Seen on rereading: the comment at COLD_PART_OF_MANY claimed that reports bound what many relays send to a cold node, but a welcomed one is sent to without a report, and the test of a hot key plays no reports, so that it does not reach this part.

Only a comment changed in the program.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -72,7 +72,7 @@
 const LEAST_HOLD: Micros = 10_000;
 /// Part of the cold budget that relays use up in the long run: chance and what is saved take the rest.
 const COLD_PART: f64 = 0.65;
-/// The same for many relays where reports tell: one of them saw little, and the report bounds it too.
+/// The same for many, most of whom spend none of it. Harm: a burst at all of them at once can outrun it.
 const COLD_PART_OF_MANY: f64 = 5.0;
 /// Relays beyond this many see few requests each, and act on the same reports before these show it; relays.
 const MANY: u32 = 16;
