Keep the last good machine list when a whole one names nobody

A whole list without entries was entered as it was: every node gone, every connection moved, every job refused. Now it counts as a failed call (source/discovery.rs, call), like one that is garbled, cut off or too long; the watch goes on from the last good version. And a count of balancers that cannot be is met with 1,000 in place of 16: with 16, a fleet of 300 would send a cold node what the old budget of few relays allows each. Test: five spoilt lists against the real program; without the change the first of them leaves the job without a node.

--- a/crates/pierloom/tests/proxy.rs
+++ b/crates/pierloom/tests/proxy.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use std::time::{Duration, Instant};
-use world::{LONG, MachineList, Node, Peer, Proxy, SETTINGS, config, config_file, entry, program};
+use world::{LONG, MachineList, Node, Peer, Proxy, SETTINGS, config, config_file, entry, http, program};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -320,6 +320,31 @@
     assert_eq!(submitter.line(), "MOVE\r\n");
 }
 
+// Guards against a fleet emptied by a list that is wrong: all would be given up at once.
+#[test]
+fn a_spoilt_machine_list_leaves_the_last_good_one_in_force() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("spoilt", &[&node]);
+    let (mut submitter, _at_node) = proxy.connect("k", &node);
+    proxy.list.calls.recv_timeout(LONG).unwrap();
+    let gone = format!(r#"{{"index":9,"snapshot":true,"endpoints":[{}"#, node.entry("gone"));
+    let huge = format!(r#"{{"index":9,"snapshot":true,"endpoints":[],"more":"{}"}}"#, "x".repeat(5 << 20));
+    for (body, missing) in [
+        (r#"{"index":9,"snapshot":true,"endpoints":[]}"#, 0),
+        (&format!("{gone}]}}").replace("gone", "vanished"), 0),
+        (&gone, 0),
+        (&format!("{gone}]}}"), 7),
+        (&huge, 0),
+    ] {
+        proxy.list.spoil(http(body, body.len() + missing));
+        // The next call shows that the answer was dealt with; it watches from the last good version.
+        assert_eq!(proxy.list.calls.recv_timeout(LONG).unwrap().from, 1);
+        proxy.connect("k2", &node);
+    }
+    proxy.list.tell(&node.entry("draining"));
+    assert_eq!(submitter.line(), "MOVE\r\n");
+}
+
 #[test]
 fn a_planned_stop_answers_newcomers_and_moves_everyone_in_time() {
     let node = Node::new("n");
--- a/crates/pierloom/tests/world/mod.rs
+++ b/crates/pierloom/tests/world/mod.rs
@@ -143,6 +143,8 @@
     index: u64,
     news: VecDeque<(u64, String)>,
     failures: u32,
+    /// Answers that are sent as they are, each with the end of its connection.
+    spoilt: VecDeque<String>,
 }
 
 /// The service of the machine list.
@@ -175,7 +177,12 @@
                         if sender.send(Call { connection, from, at: Instant::now() }).is_err() {
                             return;
                         }
-                        peer.send(&answer(&told, from));
+                        let (text, last) = answer(&told, from);
+                        // Whoever has read enough of a spoilt one may be gone.
+                        let sent = peer.stream().write_all(text.as_bytes());
+                        if last || sent.is_err() {
+                            return;
+                        }
                     }
                 });
             }
@@ -192,6 +199,12 @@
         self.told.1.notify_all();
     }
 
+    /// Answers the call that waits with that, as it is, and ends its connection.
+    pub fn spoil(&self, text: String) {
+        self.told.0.lock().unwrap().spoilt.push_back(text);
+        self.told.1.notify_all();
+    }
+
     /// Ends the call that waits and fails as many more as it takes to make this number.
     pub fn fail(&self, calls: u32) {
         self.told.0.lock().unwrap().failures = calls;
@@ -199,18 +212,27 @@
     }
 }
 
-fn answer(told: &(Mutex<Told>, Condvar), from: u64) -> String {
-    let still = |told: &mut Told| told.index <= from && told.failures == 0;
+/// An answer, and whether the connection ends after it.
+fn answer(told: &(Mutex<Told>, Condvar), from: u64) -> (String, bool) {
+    let still = |told: &mut Told| told.index <= from && told.failures == 0 && told.spoilt.is_empty();
     let mut state = told.1.wait_timeout_while(told.0.lock().unwrap(), LONG, still).unwrap().0;
     if state.failures > 0 {
         state.failures -= 1;
-        return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".into();
+        return ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".into(), false);
+    }
+    if let Some(text) = state.spoilt.pop_front() {
+        return (text, true);
     }
     let news = state.news.iter().filter(|(index, _)| *index > from).map(|(_, entry)| entry.as_str());
     let entries = news.collect::<Vec<_>>().join(",");
     let (index, whole) = (state.index, from == 0);
     let body = format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{entries}]}}"#);
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    (http(&body, body.len()), false)
+}
+
+/// An answer of that body, which says that it is so long.
+pub fn http(body: &str, length: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
 /// The settings of these tests; `bounds` may say more.
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -135,7 +135,12 @@
     }
     *kept = Some(sender);
     let mut bytes = body.to_bytes().to_vec();
-    simd_json::serde::from_slice(&mut bytes).map_err(|e| e.to_string())
+    let list: List = simd_json::serde::from_slice(&mut bytes).map_err(|e| e.to_string())?;
+    if list.endpoints.is_empty() && (list.snapshot || from.is_none()) {
+        // A fleet that left all at once would be told as gone, machine by machine.
+        return Err("a whole list that names nobody".to_string());
+    }
+    Ok(list)
 }
 
 /// Follows discovery wherever it is: from the known version on once the module asks, else with the whole list
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -161,9 +161,9 @@
     weights: String,
 }
 
-/// Relays assumed where their number is not stated or cannot be: enough that nothing is asked for in step, and not
-/// so many that the budgets of a large fleet apply.
-const USUAL_RELAYS: u32 = 16;
+/// Relays assumed where their number is not stated or cannot be: more than any fleet that is planned, as the bound on
+/// what all send to a cold backend holds for no more than are assumed.
+const USUAL_RELAYS: u32 = 1_000;
 /// More relays than this are no fleet, but a mistake.
 const MOST_RELAYS: u32 = 100_000;
 
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -214,11 +214,11 @@
     assert_eq!((settings.relays, names.doubts.len()), (100, 0));
     for stated in ["0", "-3", "2.5", "1e12", "99999999999", "\"many\"", "[1]", "null"] {
         let (settings, names) = read(&format!("\"balancers\": {stated},"));
-        assert_eq!(settings.relays, 16, "{stated}");
+        assert_eq!(settings.relays, 1_000, "{stated}");
         assert_eq!(names.doubts.len(), 1, "{stated}");
         assert!(names.doubts[0].contains("balancers is"), "{}", names.doubts[0]);
     }
     let (settings, names) = read("");
-    assert_eq!((settings.relays, names.doubts.len()), (16, 1));
+    assert_eq!((settings.relays, names.doubts.len()), (1_000, 1));
     assert!(names.doubts[0].contains("balancers is not stated"), "{}", names.doubts[0]);
 }
