Ask discovery within 2.5 s of the start, so that restarted relays soon know who left

The slow ones are the restarted ones: their known list is old, and ask() drew the first call from 20 ms x 300, cut to ask-within / 2 = 5 s. Change: the first call comes within ask-within / 4, as it may wait three seconds for its turn there and a change counts as told after six; the back-off after failures keeps its cap. Test: first calls of 300 relays; without the change the last comes after 4.96 s.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -321,10 +321,11 @@
         if !self.settings.ask_for_list || std::mem::replace(&mut self.asking, true) {
             return;
         }
-        let spread = (CALL * u64::from(self.settings.relays)) << self.calls.min(4);
+        // A call may wait three seconds for its turn there, and the rule leaves six from a change on.
+        let first = (CALL * u64::from(self.settings.relays)).min(self.settings.ask_within / 4);
+        let spread = (first << self.calls.min(4)).min(self.settings.ask_within / 2);
         self.calls += 1;
-        let gap = self.rng.u64(0..=spread.min(self.settings.ask_within / 2));
-        out.push(Action::Timer(gap, ASK));
+        out.push(Action::Timer(self.rng.u64(0..=spread), ASK));
     }
 
     /// Ordinary path: newcomers pass with probability p, continuing clients always.
@@ -587,8 +588,7 @@
             // A report of no load at all is older than the connections there.
             let roomy = |load| 0.0 < load && load < ROOMY;
             let roomy = backend.report(now, WATCH_GAP).flatten().is_some_and(roomy);
-            let due_at = backend.probed_at + if roomy { WATCH_GAP } else { PACE };
-            if due_at <= now {
+            if now >= backend.probed_at + if roomy { WATCH_GAP } else { PACE } {
                 backend.probed_at = now;
                 out.push(Action::Probe(backend.member.backend.clone()));
             }
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -135,6 +135,25 @@
     }
 }
 
+/// Guards against relays that go by an old list for long after a restart: a change counts as told six seconds
+/// after it was made, and a call may wait three of them for its turn.
+#[test]
+fn three_hundred_relays_ask_soon_after_their_start_and_not_in_step() {
+    let settings = Settings { relays: 300, ask_for_list: true, ask_within: 10 * S, ..many() };
+    let first = |seed| {
+        let mut d = Driver { balancer: Balancer::new(settings.clone(), seed).unwrap(), now: 100 * S };
+        let out = d.list(ListKind::Full, members(8));
+        out.iter().find_map(|action| match action {
+            Action::Timer(gap, 2) => Some(*gap),
+            _ => None,
+        })
+    };
+    let gaps: Vec<Micros> = (0..300).map(|seed| first(seed).unwrap()).collect();
+    assert!(gaps.iter().all(|&gap| gap <= 2_500 * MS), "{:?}", gaps.iter().max());
+    let most = (0..25).map(|k| gaps.iter().filter(|&&gap| gap / (100 * MS) == k).count()).max();
+    assert!(most.is_some_and(|most| most <= 25), "{most:?} of 300 ask within a tenth of a second");
+}
+
 /// Guards against the moves of a drain begun in the same instant: with one connection there each, rounds of
 /// one in twenty spread nothing over the fleet.
 #[test]
