Count a relay's turns at cold nodes over a sliding window, in place of saving half of them

Change: what was drawn in the last window is counted, and the next request may draw the rest. The bound is the same and now exact for every window (state.rs, spend_turn; logic.rs, turn); a draw that cannot be used spends nothing. The tests of bursts hold unchanged.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -76,8 +76,6 @@
 const MANY: u32 = 16;
 /// Connections that fill a core where the fewest do, by the operators' brief: the guide to what is cold.
 const CORE_HOLDS: f64 = 11.0;
-/// Windows of a relay's turns that are saved for its next request: as much again as comes in a window.
-const TURNS_SAVED: f64 = 1.0;
 /// Of it is saved, up to one connection where windows hold less: a burst would spend what is over; windows.
 const SAVED_WINDOWS: f64 = 8.0;
 /// Time of the list service that one relay's call may take when all relays call; microseconds.
@@ -736,13 +734,15 @@
     fn turn(&mut self, now: Micros, work: &Work) -> Option<usize> {
         let cold: Vec<usize> = self.cold(now).filter(|_| self.many()).collect();
         let size: f64 = cold.iter().map(|&i| self.weight(i)).sum();
-        let parts = f64::from(self.settings.relays) * self.settings.cold as f64 * (1.0 + TURNS_SAVED);
-        let rate = size * CORE_HOLDS * self.settings.fall_multiple / parts;
-        let turns = self.spend_turn(now, rate, rate * self.settings.fall as f64 * TURNS_SAVED);
         let i = self.draw(&cold, size)?;
-        let taken = self.rng.f64() < turns * self.cold_share(i, now)? && !work.tried.contains(&i);
         let roomy = self.expected(i, now, PACE, true).is_none_or(|load| load < ROOMY);
-        (taken && roomy && self.allowed(now, work, i) && !self.suspect(i, now)).then_some(i)
+        if !roomy || work.tried.contains(&i) || !self.allowed(now, work, i) || self.suspect(i, now) {
+            return None;
+        }
+        let (window, relays) = (self.settings.fall as f64 / self.settings.cold as f64, self.settings.relays);
+        let most = size * CORE_HOLDS * self.settings.fall_multiple * window / f64::from(relays);
+        let turn = self.spend_turn(now, self.settings.fall, most) * self.cold_share(i, now)?;
+        (self.rng.f64() < turn).then_some(i)
     }
 
     /// Guards against backends that fail by turns, and look empty: failures fade slowly, and by parts.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -313,9 +313,8 @@
     pub(crate) placed: BTreeMap<u64, (Micros, Option<f64>)>,
     /// Connections set up since the start.
     pub(crate) set_ups: u64,
-    /// Turns at cold backends that are saved, and as of when.
-    pub(crate) turns: f64,
-    pub(crate) turns_at: Micros,
+    /// Turns at cold backends that were spent in the last window, and when.
+    pub(crate) turns: VecDeque<(Micros, f64)>,
     /// Requests without an attempt out, in order of arrival.
     pub(crate) held: Vec<RequestId>,
     /// Standing connections to be moved off backends that leave, in order.
@@ -343,13 +342,17 @@
         self.total.book(load, enter);
     }
 
-    /// Adds to the saved turns what came since, up to `most`, and spends one, or what there is of it; how many
-    /// there were.
-    pub(crate) fn spend_turn(&mut self, now: Micros, rate: f64, most: f64) -> f64 {
-        let came = rate * now.saturating_sub(self.turns_at) as f64;
-        let turns = (self.turns + came).min(most);
-        (self.turns, self.turns_at) = ((turns - 1.0).max(0.0), now);
-        turns
+    /// Spends what is left of a window's turns, one at most; how much that was.
+    pub(crate) fn spend_turn(&mut self, now: Micros, window: Micros, most: f64) -> f64 {
+        while self.turns.front().is_some_and(|&(at, _)| at + window < now) {
+            self.turns.pop_front();
+        }
+        let spent: f64 = self.turns.iter().map(|(_, turn)| turn).sum();
+        let turn = (most - spent).clamp(0.0, 1.0);
+        if turn > 0.0 {
+            self.turns.push_back((now, turn));
+        }
+        turn
     }
 
     /// One of those by chance, as its size is of the sum of theirs; none of none, and no chance is used up.
@@ -645,8 +648,7 @@
             works: BTreeMap::new(),
             placed: BTreeMap::new(),
             set_ups: 0,
-            turns: 0.0,
-            turns_at: 0,
+            turns: VecDeque::new(),
             held: Vec::new(),
             leaving: VecDeque::new(),
             noted_at: 0,
