Take near entries with room first where relays are many

Cause: pick ranks the eight entries of a key by report alone, and the first of equals wins whatever its zone. Ruled out: groups that scatter as before. Test: 40 jobs at a relay with five near and five far nodes; without the change 24 stay near.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -489,7 +489,7 @@
             let rank = |&i: &usize| match self.expected(i, now, PACE, informed) {
                 Some(load) if full(i, load) => 3,
                 Some(load) if load >= ROOMY => 2,
-                _ => 1,
+                _ => u32::from(self.many() && self.backends[i].member.zone != self.settings.zone),
             };
             // `min_by_key` takes the first of equals.
             let Some(best) = usable.min_by_key(rank).or_else(any) else { return Err(soonest()) };
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -154,6 +154,25 @@
     assert!(most.is_some_and(|most| most <= 25), "{most:?} of 300 ask within a tenth of a second");
 }
 
+/// Guards against paying for a crossing where a near backend has room: a group of a large fleet has members in each
+/// zone, so that it costs little to have a home in each.
+#[test]
+fn many_relays_take_a_near_entry_with_room_and_a_far_one_where_it_is_full() {
+    let zoned = || (0..10).map(|i| Member { zone: (i % 2) as u16, ..members(10)[i].clone() }).collect();
+    let mut d = Driver { balancer: Balancer::new(Settings { zone: 0, ..many() }, 7).unwrap(), now: 100 * S };
+    d.list(ListKind::Full, zoned());
+    let near = |backend: &BackendId| zoned().iter().any(|m: &Member| m.backend == *backend && m.zone == 0);
+    let placed = |d: &mut Driver, from: u64, reports: &Reports| {
+        (from..from + 40).filter(|&id| near(&place(d, id, reports).unwrap())).count()
+    };
+    let count = placed(&mut d, 0, &Reports::new());
+    assert!(count >= 36, "{count} of 40 near while all have room");
+    let full =
+        zoned().into_iter().filter(|m: &Member| m.zone == 0).map(|m| (m.backend, [0.9, 8.0])).collect();
+    d.now += 2 * S;
+    assert_eq!(placed(&mut d, 100, &full), 0, "near ones are full");
+}
+
 /// Guards against the moves of a drain begun in the same instant: with one connection there each, rounds of
 /// one in twenty spread nothing over the fleet.
 #[test]
