Read a config again that is still being written at SIGHUP

A file that could not be used at SIGHUP left the old config in force until the next signal (reload.rs, on_sighup), while the old discovery closes after 1.5 s and what the new one tells counts as told after four. Test: half a config, SIGHUP, then the whole one without a signal; without the change it is never taken up.

--- a/crates/pierloom/tests/proxy.rs
+++ b/crates/pierloom/tests/proxy.rs
@@ -403,6 +403,20 @@
     assert!(proxy.list.calls.try_iter().all(|call| call.from > 0));
 }
 
+// Guards against a proxy that stays with a discovery which is gone, as its config was not all there at SIGHUP.
+#[test]
+fn a_config_still_being_written_at_a_reload_is_taken_up_once_it_is_whole() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("slow-write", &[&node]);
+    let next = MachineList::new();
+    next.tell(&node.entry("ready"));
+    proxy.reload("{\"name\":");
+    assert!(proxy.logged().contains("the old config stays"));
+    proxy.write_config(&next);
+    assert!(proxy.logged().contains(&next.address.to_string()), "one complaint, then the new one");
+    assert_eq!(next.calls.recv_timeout(LONG).unwrap().from, 0);
+}
+
 #[test]
 fn probes_ask_for_the_load_on_one_connection() {
     let node = Node::new("n");
--- a/crates/pierloom/tests/world/mod.rs
+++ b/crates/pierloom/tests/world/mod.rs
@@ -351,10 +351,19 @@
 
     /// Replaces its config by that text with SIGHUP.
     pub fn reload(&self, text: &str) {
+        self.replace(text);
+        self.signal("-HUP");
+    }
+
+    /// Replaces its config by one with another machine list, and says nothing.
+    pub fn write_config(&self, list: &MachineList) {
+        self.replace(&self.text.replace(&self.list.address.to_string(), &list.address.to_string()));
+    }
+
+    fn replace(&self, text: &str) {
         let new = self.path.with_extension("new");
         std::fs::write(&new, text).unwrap();
         std::fs::rename(&new, &self.path).unwrap();
-        self.signal("-HUP");
     }
 
     /// Reloads with another machine list; the one before.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -59,7 +59,7 @@
     let signals = |which| host.signals(which).map_err(|e| format!("signals: {e}"));
     let (hangups, terminations) = (signals(Signal::Hangup)?, signals(Signal::Terminate)?);
     let (discovery_moves, address) = watch::channel(config.discovery);
-    host.spawn(reload::on_sighup(host.clone(), hangups, config.source, discovery_moves));
+    host.spawn(reload::on_sighup(core.clone(), hangups, config.source, discovery_moves));
     keep_up(&host, "sweep", {
         let core = core.clone();
         move || core.clone().sweep()
