--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -489,7 +489,7 @@
             let rank = |&i: &usize| match self.expected(i, now, PACE, informed) {
                 Some(load) if full(i, load) => 3,
                 Some(load) if load >= ROOMY => 2,
-                _ => u32::from(self.many() && self.backends[i].member.zone != self.settings.zone),
+                _ => u32::from(self.many() && self.far(i)),
             };
             // `min_by_key` takes the first of equals.
             let Some(best) = usable.min_by_key(rank).or_else(any) else { return Err(soonest()) };
@@ -510,7 +510,7 @@
     /// Load of ours as the pick counts it; a newly started backend stands at the mean, and a far one counts
     /// fuller where crossing costs (exception "near").
     fn counted(&self, i: usize, now: Micros) -> f64 {
-        let far = f64::from(self.backends[i].member.zone != self.settings.zone) * FAR;
+        let far = f64::from(self.far(i)) * FAR;
         let own =
             self.load(&self.backends[i].ours) / self.weight(i) * (1.0 + far * self.settings.cross_zone_price);
         let mean = self.load(&self.total) / self.admission.capacity.max(f64::MIN_POSITIVE);
@@ -732,7 +732,7 @@
     /// Exception "turn": guards against a cold backend overrun by the sum of many relays: each opens there by
     /// chance, whatever comes to whom, so rarely that all in step keep its multiple. Harm: groups scatter.
     fn turn(&mut self, now: Micros, work: &Work) -> Option<usize> {
-        let cold: Vec<usize> = self.cold(now).filter(|_| self.many()).collect();
+        let cold: Vec<usize> = self.many().then(|| self.cold(now)).into_iter().flatten().collect();
         let size: f64 = cold.iter().map(|&i| self.weight(i)).sum();
         let i = self.draw(&cold, size)?;
         let roomy = self.expected(i, now, PACE, true).is_none_or(|load| load < ROOMY);
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -614,6 +614,11 @@
         self.index.values().copied().filter(|&i| self.backends[i].ready())
     }
 
+    /// Whether it lies in another zone and crossing has a price.
+    pub(crate) fn far(&self, i: usize) -> bool {
+        self.backends[i].member.zone != self.settings.zone && self.settings.cross_zone_price > 0.0
+    }
+
     /// Listed backends that warm up.
     pub(crate) fn cold(&self, now: Micros) -> impl Iterator<Item = usize> {
         self.ready().filter(move |&i| self.cold_share(i, now).is_some())
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -159,12 +159,19 @@
 #[test]
 fn many_relays_take_a_near_entry_with_room_and_a_far_one_where_it_is_full() {
     let zoned = || (0..10).map(|i| Member { zone: (i % 2) as u16, ..members(10)[i].clone() }).collect();
-    let mut d = Driver { balancer: Balancer::new(Settings { zone: 0, ..many() }, 7).unwrap(), now: 100 * S };
-    d.list(ListKind::Full, zoned());
+    let relay = |cross_zone_price| {
+        let settings = Settings { zone: 0, cross_zone_price, ..many() };
+        let mut d = Driver { balancer: Balancer::new(settings, 7).unwrap(), now: 100 * S };
+        d.list(ListKind::Full, zoned());
+        d
+    };
     let near = |backend: &BackendId| zoned().iter().any(|m: &Member| m.backend == *backend && m.zone == 0);
     let placed = |d: &mut Driver, from: u64, reports: &Reports| {
         (from..from + 40).filter(|&id| near(&place(d, id, reports).unwrap())).count()
     };
+    let count = placed(&mut relay(0.0), 0, &Reports::new());
+    assert!((10..=30).contains(&count), "{count} of 40 near where crossing costs nothing");
+    let mut d = relay(0.08);
     let count = placed(&mut d, 0, &Reports::new());
     assert!(count >= 36, "{count} of 40 near while all have room");
     let full =
