A second address for staff answers health checks and figures

Change: console.rs (hyper's server, one call a connection, the submitters' lobby as bound, its own file now) and figures.rs (prometheus counters, counted where a job has its final answer and where a claim's last byte is written).

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -310,7 +310,7 @@
     }
 
     /// Whether the rules bar everything new from it.
-    fn barred(&self, i: usize) -> bool {
+    pub(crate) fn barred(&self, i: usize) -> bool {
         self.backends[i].drained || self.settings.removal_binds && !self.backends[i].ready()
     }
 
@@ -746,7 +746,7 @@
     }
 
     /// Guards against backends that fail by turns, and look empty: failures fade slowly, and by parts.
-    fn suspect(&self, i: usize, now: Micros) -> bool {
+    pub(crate) fn suspect(&self, i: usize, now: Micros) -> bool {
         self.backends[i].failures(now, FAILURE_HALF_LIFE) >= SUSPECT
     }
 
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -336,6 +336,14 @@
 }
 
 impl Balancer {
+    /// The number of backends listed, and of those among them that get nothing new by rule or for their failures.
+    pub fn census(&self, now: Micros) -> (usize, usize) {
+        let listed = |i: &usize| self.backends[*i].member.state != MemberState::Gone;
+        let listed: Vec<usize> = (0..self.backends.len()).filter(listed).collect();
+        let avoided = listed.iter().filter(|&&i| self.barred(i) || self.suspect(i, now));
+        (listed.len(), avoided.count())
+    }
+
     /// Enters a connection of that load at a backend, or takes it out.
     pub(crate) fn book(&mut self, i: usize, load: Option<f64>, enter: bool) {
         self.backends[i].ours.book(load, enter);
--- a/crates/lab/src/defects.rs
+++ b/crates/lab/src/defects.rs
@@ -149,6 +149,10 @@
 }
 
 impl Decide for Module {
+    fn census(&self, now: Micros) -> (usize, usize) {
+        self.inner.census(now)
+    }
+
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         let event = match event {
             Event::Members { kind, members } => {
--- a/crates/proxy/src/claim.rs
+++ b/crates/proxy/src/claim.rs
@@ -64,13 +64,15 @@
     pub received: Vec<u8>,
 }
 
-/// Connects, writes the whole of `opening` and reads the answer; nothing stays open where it fails.
+/// Connects, writes the whole of `opening` and reads the answer; nothing stays open where it fails. It is counted by
+/// its job's class once it is written.
 pub async fn attempt(
     core: &Core,
     front: &dyn Front,
     node: Option<SocketAddr>,
     opening: &[u8],
     until: Micros,
+    class: usize,
 ) -> Result<Link, Ending> {
     let connect_until = until.min(core.now() + core.settings().connect_timeout);
     let ending = |reach, cause| Ending { reach, cause };
@@ -86,6 +88,7 @@
         stream.set_nodelay()?;
         write_all(&stream, opening).await?;
         reach = Reach::Written;
+        core.figures.claimed(class);
         read_line(&stream, Vec::new()).await
     };
     let answer = tokio::select! {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -22,6 +22,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    console: Option<String>,
     seed: String,
     limits: Option<Limits>,
     #[serde(default)]
@@ -37,6 +38,8 @@
     pub listen: SocketAddr,
     /// Where the machine list is told.
     pub discovery: SocketAddr,
+    /// Where staff call, if anywhere.
+    pub console: Option<SocketAddr>,
     /// Seed of the module's random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -88,7 +91,7 @@
     text.parse().map_err(|_| format!("{what}: {text:?} is no address"))
 }
 
-/// Reads the config file at `path`; LB_LISTEN and LB_DISCOVERY come before what it says.
+/// Reads the config file at `path`; LB_LISTEN, LB_DISCOVERY and LB_CONSOLE come before what it says.
 pub fn read(host: &Host, path: &Path) -> Result<Config, Fault> {
     let mut bytes = host.read_file(path).map_err(|e| format!("config {}: {e}", path.display()))?;
     let file: File = simd_json::serde::from_slice(&mut bytes)
@@ -102,6 +105,11 @@
         name: host.variable("LB_NAME").or(file.name).unwrap_or_else(|| "pierloom".into()),
         listen: address(host, "listen", "LB_LISTEN", file.listen)?,
         discovery: address(host, "discovery", "LB_DISCOVERY", file.discovery)?,
+        console: host
+            .variable("LB_CONSOLE")
+            .or(file.console)
+            .map(|text| parsed("console", &text))
+            .transpose()?,
         seed,
         sockets: file.limits.map_or(USUAL_SOCKETS, |limits| limits.sockets),
         known: file.known,
--- /dev/null
+++ b/crates/proxy/src/console.rs
@@ -0,0 +1,115 @@
+//! The second address, for staff: HTTP/1.1, one call per connection. It decides nothing.
+
+use crate::config::Fault;
+use crate::core::Core;
+use crate::lobby::{Lobby, Place};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use pierloom_decision::Micros;
+use pierloom_host::{Host, TcpListener, TcpStream};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Part of all descriptors, and the least and the greatest number, for callers.
+const PLACES_PART: usize = 16;
+const PLACES_LEAST: usize = 16;
+const PLACES_MOST: usize = 64;
+/// From connecting, a caller has this long to make its call and take the answer; microseconds.
+const CALL: Micros = 5_000_000;
+/// The least that hyper reads into; a longer head is answered 431; bytes.
+const BUFFER: usize = 8_192;
+/// Calls that the system lets wait to be taken in.
+const BACKLOG: i32 = 256;
+/// Pause after an accept that failed; microseconds.
+const ACCEPT_PAUSE: Micros = 20_000;
+
+/// The most callers at once, where the process may hold so many descriptors.
+pub fn places(sockets: usize) -> usize {
+    (sockets / PLACES_PART).clamp(PLACES_LEAST, PLACES_MOST)
+}
+
+/// Takes staff's calls in.
+pub struct Console {
+    listener: TcpListener,
+    lobby: Rc<Lobby>,
+}
+
+impl Console {
+    pub fn bind(host: &Host, address: SocketAddr, sockets: usize) -> Result<Self, Fault> {
+        let listener = host.listen(address, BACKLOG).map_err(|e| format!("console: {address}: {e}"))?;
+        Ok(Console { listener, lobby: Lobby::new(places(sockets)) })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Accepts for ever; each call is a task of its own, where a panic stays.
+    pub async fn serve(self: Rc<Self>, core: Rc<Core>) {
+        loop {
+            let place = self.lobby.enter(&core).await;
+            match self.listener.accept().await {
+                Ok((stream, _)) => drop(core.host.spawn(call(core.clone(), stream, place))),
+                Err(e) => {
+                    tracing::warn!(target: "console", "{e}");
+                    core.deadlines.until(core.now() + ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Hears one call and answers it. What is no whole call in time, or stands in another's way, is closed.
+async fn call(core: Rc<Core>, stream: TcpStream, place: Place) {
+    let _ = stream.set_nodelay();
+    let served = {
+        let core = core.clone();
+        service_fn(move |request| {
+            let answer = answer(&core, &request);
+            async move { Ok::<_, Infallible>(answer) }
+        })
+    };
+    let mut http = http1::Builder::new();
+    // A caller may end its sending after the call and still wait for the answer.
+    http.keep_alive(false).half_close(true).max_buf_size(BUFFER);
+    tokio::select! {
+        biased;
+        // How it ended is the caller's to know.
+        _ = http.serve_connection(TokioIo::new(stream), served) => {}
+        () = core.deadlines.until(core.now() + CALL) => {}
+        () = place.wanted() => {}
+    }
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn said(status: StatusCode, words: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(words.into()));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    answer
+}
+
+fn wrong_method(allowed: &'static str) -> Answer {
+    let mut answer = said(StatusCode::METHOD_NOT_ALLOWED, format!("only {allowed} is meant here\n"));
+    answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+    answer
+}
+
+/// What the call is owed.
+fn answer(core: &Core, request: &Request<Incoming>) -> Answer {
+    let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
+    let get = request.method() == Method::GET;
+    match path[..] {
+        ["healthcheck"] if get => said(StatusCode::OK, "serving\n"),
+        ["stats"] if get => said(StatusCode::OK, core.figures_text()),
+        ["healthcheck" | "stats"] => wrong_method("GET"),
+        _ => said(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -1,6 +1,7 @@
 //! Owns the decision module, its clock and its deadlines: hands events in and actions out. Knows no front.
 
 use crate::deadlines::Deadlines;
+use crate::figures::{Figures, Final, Now};
 use crate::ledger::{Cause, Ledger};
 use pierloom_decision::{
     Action, BackendId, Balancer, Ended, Event, Micros, Note, RequestId, Settings, Status,
@@ -49,12 +50,18 @@
 pub trait Decide {
     /// Takes an event in and puts out what is to be done, as [`Balancer::handle`] does.
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+    /// The number of backends listed, and of those among them that get nothing new.
+    fn census(&self, now: Micros) -> (usize, usize);
 }
 
 impl Decide for Balancer {
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.handle(now, event, out);
     }
+
+    fn census(&self, now: Micros) -> (usize, usize) {
+        Balancer::census(self, now)
+    }
 }
 
 pub struct Core {
@@ -71,6 +78,7 @@
     probes: UnboundedSender<BackendId>,
     noted: RefCell<BTreeMap<BackendId, Noted>>,
     ledger: RefCell<Ledger>,
+    pub figures: Figures,
     /// Rung when the last job has left.
     idle: Notify,
     /// Set when the process is about to end, and rung then.
@@ -84,11 +92,13 @@
         host: Host,
         settings: Settings,
         module: Box<dyn Decide>,
+        figures: Figures,
     ) -> (Rc<Self>, UnboundedReceiver<BackendId>) {
         let (probes, asked_probes) = unbounded_channel();
         let core = Core {
             module: RefCell::new(module),
             ledger: RefCell::new(Ledger::new(&settings, host.now())),
+            figures,
             settings,
             deadlines: Deadlines::new(host.clone()),
             host,
@@ -199,6 +209,12 @@
         self.jobs.borrow().len()
     }
 
+    /// The figures as staff read them, true of this moment.
+    pub fn figures_text(&self) -> String {
+        let (listed, avoided) = self.module.borrow().census(self.now());
+        self.figures.text(Now { jobs: self.jobs(), listed, avoided })
+    }
+
     /// The jobs whose connections stand.
     pub fn standing(&self) -> Vec<RequestId> {
         self.jobs.borrow().iter().filter(|(_, job)| job.standing).map(|(&id, _)| id).collect()
@@ -234,6 +250,7 @@
 pub struct Seat {
     core: Rc<Core>,
     pub id: RequestId,
+    class: usize,
     identity: String,
     pub orders: UnboundedReceiver<Order>,
     /// Number of attempts begun.
@@ -245,8 +262,8 @@
 }
 
 impl Seat {
-    /// A place for that job, unless it is here already.
-    pub fn take(core: &Rc<Core>, identity: &str) -> Option<Self> {
+    /// A place for that job of that class, unless it is here already.
+    pub fn take(core: &Rc<Core>, identity: &str, class: usize) -> Option<Self> {
         if !core.identities.borrow_mut().insert(identity.to_string()) {
             return None;
         }
@@ -254,7 +271,7 @@
         let (sender, orders) = unbounded_channel();
         core.jobs.borrow_mut().insert(id, Entry { orders: sender, standing: false });
         let (core, identity) = (core.clone(), identity.to_string());
-        Some(Seat { core, id, identity, orders, attempts: 0, out: None, answered: false })
+        Some(Seat { core, id, class, identity, orders, attempts: 0, out: None, answered: false })
     }
 
     /// An attempt begins.
@@ -273,7 +290,7 @@
 
     /// The connection stands already, and the module was told so.
     pub fn hold(&mut self) {
-        self.answered = true;
+        self.answered(Final::Served);
         if let Some(job) = self.core.jobs.borrow_mut().get_mut(&self.id) {
             job.standing = true;
         }
@@ -291,8 +308,14 @@
         self.core.tell(Event::Ended(ended));
     }
 
-    /// The final answer was the module's.
-    pub fn answered(&mut self) {
+    /// The final answer, which is the module's, is known.
+    pub fn answered(&mut self, answer: Final) {
+        self.answered = true;
+        self.core.figures.ended(self.class, answer);
+    }
+
+    /// The module is owed nothing for this job.
+    pub fn settle(&mut self) {
         self.answered = true;
     }
 }
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -2,6 +2,7 @@
 
 use crate::claim::{self, Link};
 use crate::core::{Core, Order, Seat};
+use crate::figures::Final;
 use crate::front::{Front, Opening};
 use crate::relay;
 use crate::stream::{answer, read_more};
@@ -18,8 +19,10 @@
 
 /// Serves one job. The module is asked what to do at each `orders.recv()`.
 pub async fn run(core: Rc<Core>, front: Rc<dyn Front>, submitter: TcpStream, opening: Box<dyn Opening>) {
-    let Some(mut seat) = Seat::take(&core, opening.identity()) else {
+    let class = opening.request().class;
+    let Some(mut seat) = Seat::take(&core, opening.identity(), class) else {
         // Whoever holds that job is not to suffer from another that says it is the same.
+        core.figures.ended(class, Final::Failed);
         return answer(&core, submitter, &front.failure()).await;
     };
     let (wait, standing_at) = (opening.wait(), opening.standing_at());
@@ -43,7 +46,7 @@
                 let line = opening.for_node(until.saturating_sub(core.now()));
                 let attempt = tokio::select! {
                     biased;
-                    attempt = claim::attempt(&core, &*front, core.address(&node), &line, until) => attempt,
+                    attempt = claim::attempt(&core, &*front, core.address(&node), &line, until, class) => attempt,
                     left = breaks_off(&submitter) => return dismiss(&core, &*front, seat, submitter, left).await,
                     // What the claim comes to nobody would hear; whether it ran is not known either.
                     () = core.ends() => break None,
@@ -52,7 +55,7 @@
                     Ok(link) => break Some((link, node)),
                     // Served to its end before it was up: that is the answer, and no try follows.
                     Err(ending) if ending.status() == Status::Ok => {
-                        seat.answered();
+                        seat.answered(Final::Served);
                         seat.end(Status::Ok);
                         return answer(&core, submitter, front.served()).await;
                     }
@@ -60,17 +63,18 @@
                 }
             }
             Order::Refuse(wait) => {
-                seat.answered();
+                seat.answered(Final::Refused);
                 return answer(&core, submitter, &front.refusal(wait)).await;
             }
             Order::Fail => {
-                seat.answered();
+                seat.answered(Final::Failed);
                 return answer(&core, submitter, &front.failure()).await;
             }
             Order::Move => {}
         }
     };
     let Some((link, node)) = link else {
+        core.figures.ended(class, Final::Failed);
         drop(seat);
         return answer(&core, submitter, &front.failure()).await;
     };
@@ -90,18 +94,19 @@
     node: BackendId,
 ) {
     // Until it stands the module knows nothing of it and is owed nothing.
-    seat.answered();
-    let until = core.now() + RESUME;
+    seat.settle();
+    let (until, class) = (core.now() + RESUME, request.class);
     let line = opening.for_node(RESUME);
     let link: Link = loop {
         let attempt = tokio::select! {
             biased;
-            attempt = claim::attempt(core, front, core.address(&node), &line, until) => attempt,
+            attempt = claim::attempt(core, front, core.address(&node), &line, until, class) => attempt,
             left = breaks_off(&submitter) => return dismiss(core, front, seat, submitter, left).await,
         };
         match attempt {
             Ok(link) => break link,
             Err(_) if core.now() + RESUME_GAP > until => {
+                core.figures.ended(class, Final::Failed);
                 return answer(core, submitter, &front.failure()).await;
             }
             Err(_) => core.deadlines.until(core.now() + RESUME_GAP).await,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,12 +4,15 @@
 
 mod claim;
 pub mod config;
+mod console;
 mod core;
 mod deadlines;
+mod figures;
 pub mod front;
 mod job;
 mod ledger;
 mod listener;
+mod lobby;
 mod probe;
 mod relay;
 mod reload;
@@ -20,7 +23,9 @@
 pub use self::core::Decide;
 
 use self::config::{Config, Fault};
+use self::console::Console;
 use self::core::Core;
+use self::figures::Figures;
 use self::front::{Front, lines::Lines};
 use self::source::discovery;
 use pierloom_decision::Balancer;
@@ -50,8 +55,9 @@
 /// Runs the proxy on that machine until it has stopped as planned.
 pub async fn run(host: Host, config: Config, parts: Parts) -> Result<(), Fault> {
     let Parts { module, front } = parts;
-    let (core, probes) = Core::new(host.clone(), config.settings, module);
     let names = config.names;
+    let figures = Figures::new(names.class_names()).map_err(|e| format!("figures: {e}"))?;
+    let (core, probes) = Core::new(host.clone(), config.settings, module, figures);
     names.doubts.iter().for_each(|doubt| tracing::warn!(target: "config", "{doubt}"));
     discovery::enter_known(&core, &names, &config.known);
     let known = Cell::new(Some(config.known.index()));
@@ -69,8 +75,15 @@
         move || discovery::watch(core.clone(), names.clone(), address.clone(), known.take())
     });
     host.spawn(probe::serve(core.clone(), front.clone(), probes));
-    let listener = listener::Listener::bind(&host, config.listen, config.sockets)?;
+    let reserved = config.console.map_or(0, |_| console::places(config.sockets));
+    let listener = listener::Listener::bind(&host, config.listen, config.sockets, reserved)?;
     tracing::info!(target: "proxy", "{} listening on {}", config.name, listener.address());
+    if let Some(address) = config.console {
+        let console = Rc::new(Console::bind(&host, address, config.sockets)?);
+        tracing::info!(target: "console", "{} listens to staff on {}", config.name, console.address());
+        let core = core.clone();
+        keep_up(&host, "console", move || console.clone().serve(core.clone()));
+    }
     // Ends with the process: new submitters are taken in until then.
     keep_up(&host, "listener", {
         let core = core.clone();
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -2,17 +2,17 @@
 
 use crate::config::Fault;
 use crate::core::Core;
+use crate::figures::Final;
 use crate::front::{First, Front, Opening};
 use crate::job;
+use crate::lobby::{Lobby, Place};
 use crate::stream::{LONGEST_LINE, answer, first_line, read_line, write_all};
 use pierloom_decision::Micros;
 use pierloom_host::{Host, TcpListener, TcpStream};
 use std::any::Any;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::Notify;
 
 /// Descriptors kept for probes, the machine list, the listener and the runtime.
 const RESERVED: usize = 40;
@@ -30,58 +30,6 @@
 /// Pause after an accept that failed; microseconds.
 const ACCEPT_PAUSE: Micros = 20_000;
 
-/// One without a job is not sent away sooner than this for the next: its line may be on the way; microseconds.
-const LEAST_HEARING: Micros = 20_000;
-
-/// Submitters without a job. They are bounded apart from jobs, so that those who say nothing take no job's place;
-/// where they are too many, the one that has been there longest makes room for the next.
-struct Lobby {
-    most: usize,
-    next: Cell<u64>,
-    /// Since when each is there, and what rings when its place is wanted.
-    there: RefCell<BTreeMap<u64, (Micros, Rc<Notify>)>>,
-    /// Rung when one has left.
-    left: Notify,
-}
-
-impl Lobby {
-    fn new(most: usize) -> Rc<Self> {
-        Rc::new(Lobby { most, next: Cell::new(0), there: RefCell::default(), left: Notify::new() })
-    }
-
-    /// Waits for a place.
-    async fn enter(self: &Rc<Self>, core: &Core) -> Place {
-        while self.there.borrow().len() >= self.most {
-            let longest = self.there.borrow().values().next().cloned();
-            let Some((since, wanted)) = longest else { continue };
-            tokio::select! {
-                biased;
-                () = self.left.notified() => continue,
-                () = core.deadlines.until(since + LEAST_HEARING) => {}
-            }
-            wanted.notify_one();
-            self.left.notified().await;
-        }
-        let (number, wanted) = (self.next.replace(self.next.get() + 1), Rc::new(Notify::new()));
-        self.there.borrow_mut().insert(number, (core.now(), wanted.clone()));
-        Place { lobby: self.clone(), number, wanted }
-    }
-}
-
-/// A place in the lobby, free again when this is dropped.
-struct Place {
-    lobby: Rc<Lobby>,
-    number: u64,
-    wanted: Rc<Notify>,
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.lobby.there.borrow_mut().remove(&self.number);
-        self.lobby.left.notify_one();
-    }
-}
-
 /// Takes submitters in.
 pub struct Listener {
     listener: TcpListener,
@@ -93,11 +41,11 @@
 }
 
 impl Listener {
-    /// Listens there, for as many jobs as `sockets` descriptors allow.
-    pub fn bind(host: &Host, address: SocketAddr, sockets: usize) -> Result<Self, Fault> {
+    /// Listens there, for as many jobs as `sockets` descriptors allow once `reserved` are taken for other ends.
+    pub fn bind(host: &Host, address: SocketAddr, sockets: usize, reserved: usize) -> Result<Self, Fault> {
         let listener = host.listen(address, BACKLOG).map_err(|e| format!("listen: {address}: {e}"))?;
         let places = (sockets / LOBBY_PART).max(LOBBY_LEAST);
-        let most = (sockets.saturating_sub(RESERVED + places) / PER_JOB).max(1);
+        let most = (sockets.saturating_sub(RESERVED + places + reserved) / PER_JOB).max(1);
         let spare = RefCell::new(host.spare_descriptor());
         Ok(Listener { listener, most, lobby: Lobby::new(places), spare })
     }
@@ -169,14 +117,17 @@
         biased;
         heard = hear(front, &stream) => heard,
         () = core.deadlines.until(core.now() + HEARING) => Heard::Wrong,
-        () = place.wanted.notified() => {
+        () = place.wanted() => {
             refuse(&stream, front);
             return None;
         }
     };
     let words = match heard {
         Heard::Job(opening) if core.jobs() < most => return Some((stream, opening)),
-        Heard::Job(_) => front.refusal(Some(NO_ROOM)),
+        Heard::Job(opening) => {
+            core.figures.ended(opening.request().class, Final::Refused);
+            front.refusal(Some(NO_ROOM))
+        }
         Heard::Wrong => front.failure(),
         Heard::Gone => return None,
     };
@@ -184,7 +135,7 @@
         // First, so that the words are on their way whatever else is ready.
         biased;
         () = answer(core, stream, &words) => {}
-        () = place.wanted.notified() => {}
+        () = place.wanted() => {}
     }
     None
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -52,6 +52,13 @@
         self.classes.get(name).copied()
     }
 
+    /// The classes in the order of their indexes.
+    pub fn class_names(&self) -> Vec<String> {
+        let mut names: Vec<(usize, &String)> = self.classes.iter().map(|(name, &i)| (i, name)).collect();
+        names.sort_unstable();
+        names.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
     /// Index of a zone. Zones that the settings do not name share one.
     pub fn zone(&self, name: &str) -> u16 {
         self.zones.get(name).copied().unwrap_or(u16::MAX)
