Staff take execute nodes out and give them back; the module decides what follows

Change: Event::Withheld; a withheld backend is not ready whatever the list says, its connections are moved as off one that drains; back, it counts as cold and the next request is for it, within one relay's part of its cold budget. Tests: decision/tests/withheld.rs, console.rs.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -319,6 +319,8 @@
         /// The entries.
         members: Arc<[Member]>,
     },
+    /// Staff withhold a backend, whatever the list says, or (false) gave it back.
+    Withheld(BackendId, bool),
     /// A client's request arrives; it is owed one final answer.
     Request(Request),
     /// A connection that already stands when the balancer starts.
--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -64,10 +64,6 @@
 const PROBES_A_TRIAL: u32 = 2;
 /// Probes in a row, failed where we are served, from which no request waits for one: two may be chance.
 const VAIN_PROBES: u32 = 3;
-/// A withdrawn backend keeps its entries this long unheard of, where removal does not bind; microseconds.
-const WITHDRAWN_MEMORY: Micros = 30_000_000;
-/// Entries stay until a size has moved by this factor: late weights swing by less; no unit.
-const SIZE_SLACK: f64 = 1.1;
 /// A held request is looked at no sooner than this after it was last; microseconds.
 const LEAST_HOLD: Micros = 10_000;
 /// Part of the cold budget that relays use up in the long run: chance and what is saved take the rest.
@@ -207,6 +203,10 @@
         }
         match event {
             Event::Members { kind, members } => self.on_members(now, kind, &members, out),
+            Event::Withheld(backend, withheld) => {
+                self.withhold(now, &backend, withheld);
+                self.on_members(now, ListKind::Delta, &[], out);
+            }
             Event::Request(request) => self.on_request(now, request, out),
             Event::Open(request, backend) => self.open(now, request, &backend),
             Event::Established { id, attempt, latency } => {
@@ -311,7 +311,7 @@
 
     /// Whether the rules bar everything new from it.
     pub(crate) fn barred(&self, i: usize) -> bool {
-        self.backends[i].drained || self.settings.removal_binds && !self.backends[i].ready()
+        self.backends[i].closed() || self.settings.removal_binds && !self.backends[i].ready()
     }
 
     /// Asks for the list after a chance gap, doubled with each vain call: all relays start or fail in step.
@@ -355,7 +355,7 @@
             let size = |i: usize| self.in_table(i, now).then(|| self.weight(i));
             self.build_table((0..self.backends.len()).map(size).collect());
         }
-        let (mut cold, turn) = (Micros::MAX, self.turn(now, &work));
+        let (mut cold, turn) = (Micros::MAX, self.recall(now, &work).or_else(|| self.turn(now, &work)));
         let i = loop {
             if let Some(i) = turn {
                 break i;
@@ -641,20 +641,6 @@
         slow - slow.sqrt() > self.known.len() as f64 / 2.0
     }
 
-    /// Whether its entries are due to be drawn anew: it came, went, or its size moved by more than a slack.
-    fn moved(&self, i: usize, now: Micros) -> bool {
-        let size = if self.in_table(i, now) { self.weight(i) } else { 0.0 };
-        let (low, high) = (size.min(self.backends[i].size), size.max(self.backends[i].size));
-        low * SIZE_SLACK < high
-    }
-
-    /// Who has entries: whoever is listed, and for a while whoever the list withdrew where not binding.
-    fn in_table(&self, i: usize, now: Micros) -> bool {
-        let backend = &self.backends[i];
-        let heard = !backend.unproven || now < backend.withdrawn_at.saturating_add(WITHDRAWN_MEMORY);
-        backend.ready() || !self.settings.removal_binds && !backend.drained && heard
-    }
-
     /// Whether the rules let this request go to that backend at all.
     fn allowed(&self, now: Micros, work: &Work, i: usize) -> bool {
         if self.barred(i) {
@@ -729,6 +715,14 @@
         self.rng.f64() < tokens
     }
 
+    /// Exception "called back": guards against a backend that stays empty after staff gave it back: the next
+    /// request is for it, within our part of what all may send it cold.
+    fn recall(&mut self, now: Micros, work: &Work) -> Option<usize> {
+        let i = self.ready().find(|&i| self.backends[i].recalled && !self.many())?;
+        let sound = self.allowed(now, work, i) && !work.tried.contains(&i) && !self.suspect(i, now);
+        (sound && self.afford(i, now)).then_some(i)
+    }
+
     /// Exception "turn": guards against a cold backend overrun by the sum of many relays: each opens there by
     /// chance, whatever comes to whom, so rarely that all in step keep its multiple. Harm: groups scatter.
     fn turn(&mut self, now: Micros, work: &Work) -> Option<usize> {
@@ -739,12 +733,17 @@
         if !roomy || work.tried.contains(&i) || !self.allowed(now, work, i) || self.suspect(i, now) {
             return None;
         }
-        let (window, relays) = (self.settings.fall as f64 / self.settings.cold as f64, self.settings.relays);
-        let most = size * CORE_HOLDS * COLD_PART * self.settings.fall_multiple * window / f64::from(relays);
-        let turn = self.spend_turn(now, self.settings.fall, most) * self.cold_share(i, now)?;
+        let turn =
+            self.spend_turn(now, self.settings.fall, self.cold_part(size)) * self.cold_share(i, now)?;
         (self.rng.f64() < turn).then_some(i)
     }
 
+    /// Our part of the connections that all may open in a window at backends of that size, were they warm.
+    pub(crate) fn cold_part(&self, size: f64) -> f64 {
+        let (window, relays) = (self.settings.fall as f64 / self.settings.cold as f64, self.settings.relays);
+        size * CORE_HOLDS * COLD_PART * self.settings.fall_multiple * window / f64::from(relays)
+    }
+
     /// Guards against backends that fail by turns, and look empty: failures fade slowly, and by parts.
     pub(crate) fn suspect(&self, i: usize, now: Micros) -> bool {
         self.backends[i].failures(now, FAILURE_HALF_LIFE) >= SUSPECT
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -11,6 +11,11 @@
 pub(crate) const EMPTY: u64 = 3;
 pub(crate) const WATCH: u64 = 4;
 
+/// A withdrawn backend keeps its entries this long unheard of, where removal does not bind; microseconds.
+const WITHDRAWN_MEMORY: Micros = 30_000_000;
+/// Entries stay until a size has moved by this factor: late weights swing by less; no unit.
+const SIZE_SLACK: f64 = 1.1;
+
 /// What is known of one backend.
 pub(crate) struct Backend {
     pub member: Member,
@@ -42,6 +47,11 @@
     pub asked: u32,
     /// Seen draining and not listed ready since.
     pub drained: bool,
+    /// Staff withhold it, and since when.
+    pub withheld: bool,
+    pub withheld_at: Micros,
+    /// Staff gave it back, and nothing was sent there since.
+    pub recalled: bool,
     /// The quickest set-up there: what is left of a set-up without waiting.
     pub least_set_up: Micros,
     /// When the list withdrew it; in the far future while ready.
@@ -74,6 +84,9 @@
             unproven: false,
             asked: 0,
             drained: false,
+            withheld: false,
+            withheld_at: 0,
+            recalled: false,
             least_set_up: Micros::MAX,
             withdrawn_at: Micros::MAX,
             lost: false,
@@ -107,9 +120,14 @@
         (self.failures, self.ceiling) = (0.0, f64::INFINITY);
     }
 
-    /// Whether the list calls it ready.
+    /// Whether the list calls it ready, and staff do not withhold it.
     pub fn ready(&self) -> bool {
-        self.member.state == MemberState::Ready
+        self.member.state == MemberState::Ready && !self.withheld
+    }
+
+    /// Whether it drains or is withheld, so that the rules bar what is new.
+    pub fn closed(&self) -> bool {
+        self.drained || self.withheld
     }
 }
 
@@ -302,6 +320,8 @@
     pub(crate) started: Option<Micros>,
     pub(crate) backends: Vec<Backend>,
     pub(crate) index: BTreeMap<BackendId, usize>,
+    /// Backends that staff withhold, listed or not.
+    pub(crate) withheld: BTreeSet<BackendId>,
     pub(crate) table: Table,
     /// The set of ready backends differs from that of the table.
     pub(crate) table_stale: bool,
@@ -534,7 +554,8 @@
         let next = self.backends.len();
         let i = *self.index.entry(member.backend.clone()).or_insert(next);
         if i == next {
-            self.backends.push(Backend::new(member, now));
+            let withheld = self.withheld.contains(&member.backend);
+            self.backends.push(Backend { withheld, withheld_at: now, ..Backend::new(member, now) });
         }
         let backend = &mut self.backends[i];
         backend.member = member.clone();
@@ -550,6 +571,43 @@
         i
     }
 
+    /// Whether its entries are due to be drawn anew: it came, went, or its size moved by more than a slack.
+    pub(crate) fn moved(&self, i: usize, now: Micros) -> bool {
+        let size = if self.in_table(i, now) { self.weight(i) } else { 0.0 };
+        let (low, high) = (size.min(self.backends[i].size), size.max(self.backends[i].size));
+        low * SIZE_SLACK < high
+    }
+
+    /// Enters that staff withhold a backend, or gave it back. They restart it meanwhile: unless the list told of
+    /// a later start, it counts as started now, with our part of its cold budget for the first connection.
+    pub(crate) fn withhold(&mut self, now: Micros, backend: &BackendId, withheld: bool) {
+        let changed = match withheld {
+            true => self.withheld.insert(backend.clone()),
+            false => self.withheld.remove(backend),
+        };
+        let Some(&i) = self.index.get(backend).filter(|_| changed) else { return };
+        self.backends[i].withheld = withheld;
+        if withheld {
+            return self.backends[i].withheld_at = now;
+        }
+        let told = Some(self.backends[i].started).filter(|&at| at > self.backends[i].withheld_at);
+        self.backends[i].renew(told.unwrap_or(now), now);
+        let part = self.cold_part(self.weight(i)) * self.cold_share(i, now).unwrap_or(1.0);
+        (self.backends[i].tokens, self.backends[i].recalled) = (part.min(1.0), true);
+    }
+
+    /// Whether a list ever named that backend.
+    pub fn knows(&self, backend: &str) -> bool {
+        self.index.contains_key(backend)
+    }
+
+    /// Who has entries: whoever is listed, and for a while whoever the list withdrew where not binding.
+    pub(crate) fn in_table(&self, i: usize, now: Micros) -> bool {
+        let backend = &self.backends[i];
+        let heard = !backend.unproven || now < backend.withdrawn_at.saturating_add(WITHDRAWN_MEMORY);
+        backend.ready() || !self.settings.removal_binds && !backend.drained && heard
+    }
+
     /// Forgets a further attempt made then, unless it was the first.
     pub(crate) fn forget_further(&mut self, attempts: u32, sent: Micros) {
         let at = self.further.iter().rposition(|&at| at == sent).filter(|_| attempts > 1);
@@ -577,6 +635,7 @@
     /// Enters an attempt.
     pub(crate) fn begin(&mut self, mut work: Work, i: usize, now: Micros, until: Micros) {
         self.book(i, work.load, true);
+        self.backends[i].recalled = false;
         work.attempts += 1;
         work.out = Some((i, now, until));
         work.tried.push(i);
@@ -655,6 +714,7 @@
             started: None,
             backends: Vec::new(),
             index: BTreeMap::new(),
+            withheld: BTreeSet::new(),
             table: Table::default(),
             table_stale: false,
             total: Load::default(),
--- /dev/null
+++ b/crates/decision/tests/withheld.rs
@@ -0,0 +1,118 @@
+//! Backends that staff withhold and give back.
+
+mod common;
+use common::*;
+use pierloom_decision::*;
+
+const NODE: &str = "10.0.0.1:7000";
+
+fn withhold(d: &mut Driver, withheld: bool) -> Vec<Action> {
+    d.event(Event::Withheld(NODE.into(), withheld))
+}
+
+fn moves(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Move(_))).count()
+}
+
+/// Runs the timers that fall due within that time; the moves.
+fn settle(d: &mut Driver, mut out: Vec<Action>, time: Micros) -> usize {
+    let (end, mut due, mut moved) = (d.now + time, Vec::new(), 0);
+    loop {
+        moved += moves(&out);
+        let set = |action: &Action| match action {
+            Action::Timer(after, token) => Some((d.now + after, *token)),
+            _ => None,
+        };
+        due.extend(out.iter().filter_map(set));
+        due.sort_unstable();
+        if due.is_empty() || due[0].0 > end {
+            d.now = end;
+            return moved;
+        }
+        let (at, token) = due.remove(0);
+        d.now = at;
+        out = d.event(Event::Timer(token));
+    }
+}
+
+#[test]
+fn a_withheld_backend_gets_nothing_new_whatever_the_list_says() {
+    let mut d = Driver::new(settings(), 2);
+    withhold(&mut d, true);
+    for id in 0..40 {
+        if id == 20 {
+            d.list(ListKind::Full, members(2));
+            let restarted = Member { started: d.now, ..Member::ready(NODE) };
+            d.list(ListKind::Delta, vec![restarted]);
+        }
+        assert_ne!(&*d.connect(id), NODE, "request {id}");
+    }
+    assert_eq!(d.balancer.census(d.now), (2, 1));
+}
+
+#[test]
+fn a_try_that_follows_passes_over_a_backend_withheld_meanwhile() {
+    let mut d = Driver::new(settings(), 2);
+    for id in 0..20 {
+        let first = sent(&d.request(id)).unwrap();
+        withhold(&mut d, true);
+        let second = sent(&d.ended(id, 0, Status::ConnectFailed, false));
+        assert!(second.is_none_or(|second| &*second != NODE && second != first));
+        withhold(&mut d, false);
+        d.now += 30 * S;
+    }
+}
+
+#[test]
+fn its_connections_are_moved_as_off_one_that_drains() {
+    let mut d = Driver::new(settings(), 2);
+    let there = (0..30).filter(|&id| &*d.connect(id) == NODE).count();
+    let out = withhold(&mut d, true);
+    assert!(there > 3);
+    assert_eq!(settle(&mut d, out, 3 * S), there);
+}
+
+#[test]
+fn one_call_back_is_enough_for_two_calls_out() {
+    let mut d = Driver::new(settings(), 2);
+    withhold(&mut d, true);
+    withhold(&mut d, true);
+    withhold(&mut d, false);
+    d.now += S;
+    assert!((0..40).any(|id| &*d.connect(id) == NODE));
+    assert_eq!(d.balancer.census(d.now), (2, 0));
+}
+
+/// Guards against a mark that is lost because it came before the list, as it may after a start.
+#[test]
+fn a_mark_that_comes_before_the_list_holds() {
+    let mut d = Driver { balancer: Balancer::new(settings(), 7).unwrap(), now: 100 * S };
+    withhold(&mut d, true);
+    d.list(ListKind::Full, members(2));
+    assert!((0..40).all(|id| &*d.connect(id) != NODE));
+}
+
+/// Guards against a backend that stays empty after it was given back: the next request is for it. And against
+/// one that is overrun, as it was restarted: it counts as cold.
+#[test]
+fn what_was_given_back_is_used_at_once_and_within_its_cold_budget() {
+    let cold = Settings { cold: 9 * S, cold_from: 0.3, fall: 1_500 * MS, fall_multiple: 4.0, ..settings() };
+    let settings = Settings { relays: 3, sized_weights: true, ..cold };
+    let mut used_soon = 0;
+    for seed in 0..50 {
+        let balancer = Balancer::new(settings.clone(), seed).unwrap();
+        let mut d = Driver { balancer, now: 100 * S };
+        let sized = |i| Member { weight: 2.0, ..Member::ready(&format!("10.0.0.{i}:7000")) };
+        d.list(ListKind::Full, (0..11).map(sized).collect());
+        (0..30).for_each(|id| drop(d.connect(id)));
+        withhold(&mut d, true);
+        d.now += 6 * S;
+        withhold(&mut d, false);
+        let within_a_window: Vec<_> = (0..40).map(|n| d.connect(1_000 * (1 + seed) + n)).collect();
+        let there = within_a_window.iter().filter(|backend| &***backend == NODE).count();
+        // Two cores of eleven, three tenths of it, four times, for 1.5 s of nine to warm up: 4.4 for all three.
+        assert!(there <= 2, "{there} of a cold window at once");
+        used_soon += usize::from(within_a_window[..2].iter().any(|backend| &**backend == NODE));
+    }
+    assert!(used_soon >= 40, "among the first two on {used_soon} of 50 seeds");
+}
--- a/crates/lab/src/defects.rs
+++ b/crates/lab/src/defects.rs
@@ -153,6 +153,10 @@
         self.inner.census(now)
     }
 
+    fn knows(&self, backend: &str) -> bool {
+        self.inner.knows(backend)
+    }
+
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         let event = match event {
             Event::Members { kind, members } => {
--- a/crates/pierloom/tests/console.rs
+++ b/crates/pierloom/tests/console.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use std::time::{Duration, Instant};
-use world::{LONG, Node, Peer, Proxy, call, figure};
+use world::{LONG, Node, Peer, Proxy, SETTINGS, call, figure};
 
 /// Every answer is owed within this.
 const OWED: Duration = Duration::from_secs(1);
@@ -13,7 +13,7 @@
 #[test]
 fn calls_are_answered_and_what_is_no_call_harms_nobody() {
     let node = Node::new("n1");
-    let (proxy, console) = Proxy::start_console("console_calls", 1024, &[node.entry("ready")]);
+    let (proxy, console) = Proxy::start_console("console_calls", 1024, &[node.entry("ready")], SETTINGS);
     assert_eq!(call(console, "GET", "/healthcheck").0, 200);
     assert_eq!(call(console, "POST", "/healthcheck").0, 405);
     assert_eq!(call(console, "GET", "/elsewhere").0, 404);
@@ -41,7 +41,7 @@
 fn the_figures_count_each_job_once_and_are_true_at_once() {
     let (node, other) = (Node::new("n1"), Node::new("n2"));
     let entries = [node.entry("ready"), other.entry("draining")];
-    let (proxy, console) = Proxy::start_console("console_figures", 1024, &entries);
+    let (proxy, console) = Proxy::start_console("console_figures", 1024, &entries, SETTINGS);
     let page = call(console, "GET", "/stats").1;
     for name in ["success", "overload", "error", "dispatches"] {
         assert_eq!(figure(&page, &format!("lb_{name}{{type=\"feed\"}}")), 0);
@@ -70,7 +70,7 @@
 #[test]
 fn callers_that_say_nothing_delay_nobody() {
     let node = Node::new("n1");
-    let (proxy, console) = Proxy::start_console("console_slow", 256, &[node.entry("ready")]);
+    let (proxy, console) = Proxy::start_console("console_slow", 256, &[node.entry("ready")], SETTINGS);
     let slow: Vec<Peer> = (0..40)
         .map(|i| {
             let mut peer = Peer::connect(console);
@@ -85,3 +85,59 @@
     proxy.connect("1", &node);
     drop(slow);
 }
+
+#[test]
+fn a_node_taken_out_gets_nothing_new_and_one_call_brings_it_back() {
+    let nodes = [Node::new("n1"), Node::new("n2")];
+    let entries = nodes.each_ref().map(|node| node.entry("ready"));
+    // A node that starts takes a connection at once without being overrun.
+    let contract = r#""contract":{"cold":9,"cold-from":0.3,"fall":1.5,"fall-multiple":4},"feedback""#;
+    let settings = SETTINGS.replace("\"feedback\"", contract);
+    let (proxy, console) = Proxy::start_console("console_maint", 1024, &entries, &settings);
+    let order = |node: &str, what: &str| call(console, "POST", &format!("/label-servers/{node}/{what}")).0;
+    assert_eq!((order("nobody", "maint"), order("nobody", "ready")), (404, 404));
+    assert_eq!(call(console, "GET", "/label-servers/n1/maint").0, 405);
+    assert_eq!(order("n1", "elsewhere"), 404);
+    // Standing at the one that is taken out: moved away.
+    let mut standing = Vec::new();
+    for key in 0.. {
+        let submitter = proxy.open(&format!("5{key}"));
+        let (at, mut peer) = opened(&nodes);
+        peer.send("UP r\r\n");
+        standing.push((at, submitter, peer));
+        if at == 0 {
+            break;
+        }
+    }
+    assert_eq!((order("n1", "maint"), order("n1", "maint")), (200, 200));
+    assert_eq!(figure(&call(console, "GET", "/stats").1, "lb_targets_disabled"), 1);
+    let (_, moved, _at_node) = standing.last_mut().unwrap();
+    assert_eq!(moved.line(), "UP r\r\n");
+    assert_eq!(moved.line(), "MOVE\r\n");
+    // Whatever the list says meanwhile.
+    proxy.list.tell(&nodes[0].entry("ready"));
+    let mut at_other = Vec::new();
+    for key in 0..20 {
+        at_other.push((proxy.open(&format!("6{key}")), nodes[1].opened()));
+    }
+    assert!(nodes[0].untouched());
+    assert_eq!(order("n1", "ready"), 200);
+    assert_eq!(figure(&call(console, "GET", "/stats").1, "lb_targets_disabled"), 0);
+    // The next one is for it.
+    let _back = proxy.open("7");
+    assert!(nodes[0].opened().1.contains("OPEN 0a7"));
+}
+
+/// The node that the next claim came to, and its connection.
+fn opened(nodes: &[Node]) -> (usize, Peer) {
+    let until = Instant::now() + LONG;
+    while Instant::now() < until {
+        for (i, node) in nodes.iter().enumerate() {
+            if let Some((peer, _)) = node.try_opened() {
+                return (i, peer);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("no claim came")
+}
--- a/crates/pierloom/tests/world/mod.rs
+++ b/crates/pierloom/tests/world/mod.rs
@@ -316,10 +316,10 @@
     }
 
     /// Starts with a second address; the proxy and that address.
-    pub fn start_console(name: &str, sockets: u32, entries: &[String]) -> (Self, SocketAddr) {
+    pub fn start_console(name: &str, sockets: u32, entries: &[String], settings: &str) -> (Self, SocketAddr) {
         let mut command = program(&["serve"]);
         command.env("LB_CONSOLE", "127.0.0.1:0");
-        let proxy = Proxy::start_command(command, name, sockets, entries, SETTINGS);
+        let proxy = Proxy::start_command(command, name, sockets, entries, settings);
         let line = proxy.logged();
         let console = line.rsplit(' ').next().unwrap().parse().expect(&line);
         (proxy, console)
--- a/crates/proxy/src/console.rs
+++ b/crates/proxy/src/console.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use pierloom_decision::Micros;
 use pierloom_host::{Host, TcpListener, TcpStream};
 use std::convert::Infallible;
@@ -110,6 +111,15 @@
         ["healthcheck"] if get => said(StatusCode::OK, "serving\n"),
         ["stats"] if get => said(StatusCode::OK, core.figures_text()),
         ["healthcheck" | "stats"] => wrong_method("GET"),
+        ["label-servers", node, order @ ("maint" | "ready")] if request.method() == Method::POST => {
+            let (node, withheld) = (percent_decode_str(node).decode_utf8_lossy(), order == "maint");
+            if !core.withhold(&node, withheld) {
+                return said(StatusCode::NOT_FOUND, "no machine list ever named it\n");
+            }
+            tracing::info!(target: "console", "{node}: {order}");
+            said(StatusCode::OK, if withheld { "nothing new goes there\n" } else { "in use\n" })
+        }
+        ["label-servers", _, "maint" | "ready"] => wrong_method("POST"),
         _ => said(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -52,6 +52,8 @@
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
     /// The number of backends listed, and of those among them that get nothing new.
     fn census(&self, now: Micros) -> (usize, usize);
+    /// Whether a machine list ever named that backend.
+    fn knows(&self, backend: &str) -> bool;
 }
 
 impl Decide for Balancer {
@@ -62,6 +64,10 @@
     fn census(&self, now: Micros) -> (usize, usize) {
         Balancer::census(self, now)
     }
+
+    fn knows(&self, backend: &str) -> bool {
+        Balancer::knows(self, backend)
+    }
 }
 
 pub struct Core {
@@ -215,6 +221,15 @@
         self.figures.text(Now { jobs: self.jobs(), listed, avoided })
     }
 
+    /// Has an execute node withheld, or gives it back; false where no machine list ever named it.
+    pub fn withhold(&self, node: &str, withheld: bool) -> bool {
+        let known = self.module.borrow().knows(node);
+        if known {
+            self.tell(Event::Withheld(node.into(), withheld));
+        }
+        known
+    }
+
     /// The jobs whose connections stand.
     pub fn standing(&self) -> Vec<RequestId> {
         self.jobs.borrow().iter().filter(|(_, job)| job.standing).map(|(&id, _)| id).collect()
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -93,6 +93,8 @@
                     self.nodes.insert(member.backend.clone(), node);
                 }
             }
+            Event::Withheld(_, true) => self.add("withheld", 1),
+            Event::Withheld(_, false) => self.add("given_back", 1),
             Event::Noted(..) | Event::Timer(_) => {}
         }
     }
