An upgrade hands the listening socket, the list and staff's marks to the new process

Change: upgrade.rs; host passes a listening socket between processes (rustix); the listener can leave the queue to another process; the machine list is kept as it stands; the module's starts go with it. Tests: tests/upgrade.rs, seven; each seen to fail with its part taken out (no reopening, no file of marks, no marks or list in the state, no closing, no rename over a left-over socket, no limit to the wait).

--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -596,9 +596,19 @@
         (self.backends[i].tokens, self.backends[i].recalled) = (part.min(1.0), true);
     }
 
-    /// Whether a list ever named that backend.
+    /// Whether a list ever named that backend, or staff withhold it.
     pub fn knows(&self, backend: &str) -> bool {
-        self.index.contains_key(backend)
+        self.index.contains_key(backend) || self.withheld.contains(backend)
+    }
+
+    /// The backends that staff withhold.
+    pub fn withheld(&self) -> impl Iterator<Item = &str> {
+        self.withheld.iter().map(|backend| &**backend)
+    }
+
+    /// When that backend's process last started, as listed or observed; 0 for long ago.
+    pub fn started(&self, backend: &str) -> Option<Micros> {
+        self.index.get(backend).map(|&i| self.backends[i].started)
     }
 
     /// Who has entries: whoever is listed, and for a while whoever the list withdrew where not binding.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,9 +8,11 @@
 
 mod net;
 mod os;
+mod pass;
 mod task;
 
 pub use net::{Interest, Listening, TcpListener, TcpStream, Wire};
+pub use pass::{Offers, Pass};
 pub use task::{Ended, Signals, Task};
 
 use std::any::Any;
@@ -46,12 +48,25 @@
     fn spawn(&self, task: Local<'static, ()>);
     /// Connects to that address. Dropped before its end, it leaves nothing open.
     fn connect(&self, to: SocketAddr) -> Local<'static, io::Result<TcpStream>>;
-    /// Listens there, with so many connections that may wait to be accepted.
-    fn listen(&self, at: SocketAddr, backlog: i32) -> io::Result<TcpListener>;
+    /// Listens there, with so many connections that may wait to be accepted; beside others that share the address
+    /// alike, where that is wanted.
+    fn listen(&self, at: SocketAddr, backlog: i32, beside: bool) -> io::Result<TcpListener>;
     /// Takes over the handling of a signal.
     fn signals(&self, which: Signal) -> io::Result<Signals>;
     /// Reads a file whole.
     fn read_file(&self, path: &Path) -> io::Result<Vec<u8>>;
+    /// Writes a file whole: whoever reads it finds all of it, or all of what was there before.
+    fn write_file(&self, _path: &Path, _bytes: &[u8]) -> io::Result<()> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+    /// Offers the process that is to take over a connection at that path, in place of whoever did before.
+    fn offer(&self, _at: &Path) -> io::Result<Offers> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+    /// Asks whoever offers at that path.
+    fn ask<'a>(&self, _at: &'a Path) -> Local<'a, io::Result<Pass>> {
+        Box::pin(std::future::ready(Err(io::ErrorKind::Unsupported.into())))
+    }
     /// A variable of the process's environment.
     fn variable(&self, name: &str) -> Option<String>;
     /// Holds a descriptor until it is dropped; none if the process has none left.
@@ -95,9 +110,10 @@
         self.0.connect(to).await
     }
 
-    /// Listens there, with so many connections that may wait to be accepted.
-    pub fn listen(&self, at: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
-        self.0.listen(at, backlog)
+    /// Listens there, with so many connections that may wait to be accepted; beside others that share the address
+    /// alike, where that is wanted.
+    pub fn listen(&self, at: SocketAddr, backlog: i32, beside: bool) -> io::Result<TcpListener> {
+        self.0.listen(at, backlog, beside)
     }
 
     /// Takes over the handling of a signal.
@@ -110,6 +126,21 @@
         self.0.read_file(path)
     }
 
+    /// Writes a file whole: whoever reads it finds all of it, or all of what was there before.
+    pub fn write_file(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        self.0.write_file(path, bytes)
+    }
+
+    /// Offers the process that is to take over a connection at that path, in place of whoever did before.
+    pub fn offer(&self, at: &Path) -> io::Result<Offers> {
+        self.0.offer(at)
+    }
+
+    /// Asks whoever offers at that path.
+    pub async fn ask(&self, at: &Path) -> io::Result<Pass> {
+        self.0.ask(at).await
+    }
+
     /// A variable of the process's environment.
     pub fn variable(&self, name: &str) -> Option<String> {
         self.0.variable(name)
--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -4,6 +4,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -213,6 +214,14 @@
         }
     }
 
+    /// Its descriptor, to be given to another process.
+    pub(crate) fn descriptor(&self) -> io::Result<BorrowedFd<'_>> {
+        match &self.0 {
+            Listener::Os(listener, _) => Ok(listener.as_fd()),
+            Listener::Made(_) => Err(io::ErrorKind::Unsupported.into()),
+        }
+    }
+
     /// The address it listens on.
     pub fn address(&self) -> SocketAddr {
         match &self.0 {
--- a/crates/host/src/os.rs
+++ b/crates/host/src/os.rs
@@ -1,7 +1,7 @@
 //! The real machine, on tokio.
 
 use crate::task::Source;
-use crate::{Local, Machine, Micros, Signal, Signals, TcpListener, TcpStream};
+use crate::{Local, Machine, Micros, Offers, Pass, Signal, Signals, TcpListener, TcpStream};
 use socket2::{Domain, Socket, Type};
 use std::any::Any;
 use std::io;
@@ -40,9 +40,12 @@
         Box::pin(async move { tokio::net::TcpStream::connect(to).await.map(TcpStream::from) })
     }
 
-    fn listen(&self, at: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+    fn listen(&self, at: SocketAddr, backlog: i32, beside: bool) -> io::Result<TcpListener> {
         let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
+        if beside {
+            socket.set_reuse_port(true)?;
+        }
         socket.set_nonblocking(true)?;
         socket.bind(&at.into())?;
         socket.listen(backlog)?;
@@ -61,6 +64,20 @@
         std::fs::read(path)
     }
 
+    fn write_file(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        let beside = path.with_extension(std::process::id().to_string());
+        std::fs::write(&beside, bytes)?;
+        std::fs::rename(&beside, path)
+    }
+
+    fn offer(&self, at: &Path) -> io::Result<Offers> {
+        Offers::at(at)
+    }
+
+    fn ask<'a>(&self, at: &'a Path) -> Local<'a, io::Result<Pass>> {
+        Box::pin(Pass::to(at))
+    }
+
     fn variable(&self, name: &str) -> Option<String> {
         std::env::var(name).ok()
     }
--- a/crates/lab/src/defects.rs
+++ b/crates/lab/src/defects.rs
@@ -149,12 +149,8 @@
 }
 
 impl Decide for Module {
-    fn census(&self, now: Micros) -> (usize, usize) {
-        self.inner.census(now)
-    }
-
-    fn knows(&self, backend: &str) -> bool {
-        self.inner.knows(backend)
+    fn books(&self) -> &Balancer {
+        &self.inner
     }
 
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
--- /dev/null
+++ b/crates/pierloom/tests/upgrade.rs
@@ -0,0 +1,187 @@
+//! Starts a second process of the program beside the first, as operators do at an upgrade.
+#![allow(clippy::disallowed_types, clippy::disallowed_methods)] // real processes on real sockets
+
+#[allow(dead_code)] // each test program uses its part
+mod world;
+
+use std::io::{BufRead, BufReader, Write};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::thread;
+use world::{Folder, Node, Peer, Proxy, call, figure};
+
+fn order(console: std::net::SocketAddr, node: &str, what: &str) -> u16 {
+    call(console, "POST", &format!("/label-servers/{node}/{what}")).0
+}
+
+/// Calls for its health until it says yes.
+fn yes(console: std::net::SocketAddr) {
+    while call(console, "GET", "/healthcheck").0 != 200 {
+        thread::sleep(std::time::Duration::from_millis(5));
+    }
+}
+
+/// Opens so many jobs; each has to come to that node.
+fn all_at(proxy: &Proxy, node: &Node, name: &str, jobs: u32) -> Vec<(Peer, Peer)> {
+    (0..jobs).map(|n| proxy.connect(&format!("{name}{n}"), node)).collect()
+}
+
+#[test]
+fn an_upgrade_turns_nobody_back_and_keeps_what_the_old_one_knew() {
+    let (folder, nodes) = (Folder::new("whole"), [Node::new("n1"), Node::new("n2")]);
+    let entries = nodes.each_ref().map(|node| node.entry("ready"));
+    let (mut old, old_console) = Proxy::start_in(&folder, None, &entries);
+    yes(old_console);
+    // What discovery told since the start; the config of the next process is older.
+    old.list.tell(&nodes[1].entry("draining"));
+    while figure(&call(old_console, "GET", "/stats").1, "lb_targets_disabled") == 0 {}
+    let mut standing = all_at(&old, &nodes[0], "a", 5);
+    let (new, console) = Proxy::start_in(&folder, Some(old.address), &entries);
+    yes(console);
+    // Those who wait in the queue while the old one ends are taken in by the new one.
+    old.signal("-TERM");
+    let during = all_at(&new, &nodes[0], "b", 20);
+    for (submitter, _) in &mut standing {
+        assert_eq!(submitter.line(), "MOVE\r\n");
+    }
+    drop(standing);
+    assert!(old.exit().success());
+    let after = all_at(&new, &nodes[0], "c", 10);
+    let page = call(console, "GET", "/stats").1;
+    assert_eq!(figure(&page, "lb_success{type=\"feed\"}"), (during.len() + after.len()) as u64);
+    assert!(nodes[1].untouched(), "a drain that the old one knew of");
+}
+
+#[test]
+fn a_mark_holds_across_an_upgrade_and_calls_at_either_process_reach_both() {
+    let (folder, nodes) = (Folder::new("mark"), [Node::new("n1"), Node::new("n2")]);
+    let entries = nodes.each_ref().map(|node| node.entry("ready"));
+    let (old, old_console) = Proxy::start_in(&folder, None, &entries);
+    yes(old_console);
+    assert_eq!(order(old_console, "n2", "maint"), 200);
+    let (new, console) = Proxy::start_in(&folder, Some(old.address), &entries);
+    yes(console);
+    let _marked = all_at(&new, &nodes[0], "a", 20);
+    let disabled = |console| figure(&call(console, "GET", "/stats").1, "lb_targets_disabled");
+    // During the overlap: at the new one, then at the old one.
+    assert_eq!((disabled(old_console), disabled(console)), (1, 1));
+    assert_eq!(order(console, "n2", "ready"), 200);
+    while disabled(old_console) != 0 {}
+    assert_eq!(order(old_console, "n2", "maint"), 200);
+    while disabled(console) != 1 {}
+    let _marked = all_at(&new, &nodes[0], "b", 20);
+    assert!(nodes[1].untouched());
+}
+
+#[test]
+fn two_upgrades_in_a_row_work_like_one() {
+    let (folder, node) = (Folder::new("row"), Node::new("n1"));
+    let entries = [node.entry("ready")];
+    let (mut running, console) = Proxy::start_in(&folder, None, &entries);
+    yes(console);
+    for round in ["a", "b", "c"] {
+        let mut standing = all_at(&running, &node, round, 3);
+        let (next, console) = Proxy::start_in(&folder, Some(running.address), &entries);
+        yes(console);
+        running.signal("-TERM");
+        assert_eq!(standing[0].0.line(), "MOVE\r\n");
+        drop(standing);
+        assert!(running.exit().success());
+        running = next;
+    }
+    all_at(&running, &node, "d", 3);
+}
+
+/// The one that runs accepts again whenever the next one dies, whether or not it had taken over.
+#[test]
+fn a_new_process_that_dies_before_its_yes_costs_nothing() {
+    let (folder, node) = (Folder::new("dies"), Node::new("n1"));
+    let (old, console) = Proxy::start_in(&folder, None, &[node.entry("ready")]);
+    yes(console);
+    for said in ["", "\"tak", "\"taken\"\n", "nonsense\n"] {
+        let mut next = UnixStream::connect(folder.file("pierloom-p0.sock")).unwrap();
+        let mut words = BufReader::new(next.try_clone().unwrap());
+        let mut state = String::new();
+        words.read_line(&mut state).unwrap();
+        assert!(state.contains("\"n1\""), "{state}");
+        next.write_all(said.as_bytes()).unwrap();
+        if said == "\"taken\"\n" {
+            let mut released = String::new();
+            words.read_line(&mut released).unwrap();
+            assert_eq!(released, "\"released\"\n");
+        }
+        drop((next, words));
+        all_at(&old, &node, &format!("{}", said.len()), 3);
+    }
+}
+
+#[test]
+fn a_hand_over_cut_in_the_middle_leaves_a_process_that_serves() {
+    let node = Node::new("n1");
+    // Nothing at all before the end; words without the socket; silence.
+    for (i, said) in [Some(""), Some("L{\"state\":{\"withheld\":["), None].into_iter().enumerate() {
+        let folder = Folder::new(&format!("cut{i}"));
+        let offers = UnixListener::bind(folder.file("pierloom-p0.sock")).unwrap();
+        std::fs::write(folder.file("pierloom-p0.withheld"), r#"["n2"]"#).unwrap();
+        let cut = thread::spawn(move || {
+            let (mut asked, _) = offers.accept().unwrap();
+            match said {
+                Some(said) => asked.write_all(said.as_bytes()).unwrap(),
+                // It never answers.
+                None => drop(asked.set_read_timeout(None)),
+            }
+            said.is_none().then_some((asked, offers))
+        });
+        let other = Node::new("n2");
+        let (new, console) = Proxy::start_in(&folder, None, &[node.entry("ready"), other.entry("ready")]);
+        yes(console);
+        all_at(&new, &node, "a", 10);
+        assert!(other.untouched(), "the mark was written down");
+        drop(cut.join());
+    }
+}
+
+#[test]
+fn what_a_killed_process_left_behind_is_met() {
+    let (folder, nodes) = (Folder::new("left"), [Node::new("n1"), Node::new("n2")]);
+    let entries = nodes.each_ref().map(|node| node.entry("ready"));
+    let (killed, console) = Proxy::start_in(&folder, None, &entries);
+    yes(console);
+    assert_eq!(order(console, "n2", "maint"), 200);
+    killed.signal("-KILL");
+    let address = killed.address;
+    drop(killed);
+    let (again, console) = Proxy::start_in(&folder, Some(address), &entries);
+    yes(console);
+    all_at(&again, &nodes[0], "a", 20);
+    assert!(nodes[1].untouched(), "the mark outlives the process");
+    // And it can be upgraded in its turn.
+    let (next, console) = Proxy::start_in(&folder, Some(address), &entries);
+    yes(console);
+    all_at(&next, &nodes[0], "b", 20);
+    assert!(nodes[1].untouched());
+    drop((again, next));
+    std::fs::write(folder.file("pierloom-p0.withheld"), "[\"n").unwrap();
+    let (spoilt, console) = Proxy::start_in(&folder, None, &entries);
+    yes(console);
+    all_at(&spoilt, &nodes[0], "c", 1);
+}
+
+#[test]
+fn a_stop_before_the_hand_over_is_whole_is_a_planned_one() {
+    let (folder, node) = (Folder::new("stop"), Node::new("n1"));
+    let (mut old, console) = Proxy::start_in(&folder, None, &[node.entry("ready")]);
+    yes(console);
+    let mut standing = all_at(&old, &node, "a", 2);
+    let next = UnixStream::connect(folder.file("pierloom-p0.sock")).unwrap();
+    let mut state = String::new();
+    BufReader::new(next.try_clone().unwrap()).read_line(&mut state).unwrap();
+    old.signal("-TERM");
+    // One that comes now still has its answer.
+    let mut late = old.open("b");
+    let (mut at_node, _) = node.opened();
+    at_node.send("UP r\r\n");
+    assert_eq!((late.line(), late.line()), ("UP r\r\n".to_string(), "MOVE\r\n".to_string()));
+    assert_eq!(standing[0].0.line(), "MOVE\r\n");
+    drop((standing, late, at_node));
+    assert!(old.exit().success());
+}
--- a/crates/pierloom/tests/world/mod.rs
+++ b/crates/pierloom/tests/world/mod.rs
@@ -5,6 +5,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -279,6 +280,28 @@
     command
 }
 
+/// What processes share that upgrade each other.
+pub struct Folder(pub std::path::PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Self {
+        // Short, as the path of a socket is bounded.
+        let path = std::env::temp_dir().join(format!("pierloom-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    pub fn file(&self, name: &str) -> std::path::PathBuf {
+        self.0.join(name)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// Writes a config into a folder of its own, made anew.
 pub fn config_file(name: &str, text: &str) -> std::path::PathBuf {
     let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -325,6 +348,20 @@
         (proxy, console)
     }
 
+    /// Starts with a second address, at that first one (or a free one), in a folder that it shares with the next.
+    pub fn start_in(folder: &Folder, listen: Option<SocketAddr>, entries: &[String]) -> (Self, SocketAddr) {
+        let mut command = program(&["serve"]);
+        command.env("LB_CONSOLE", "127.0.0.1:0").env("TMPDIR", &folder.0);
+        command.envs(listen.map(|listen| ("LB_LISTEN", listen.to_string())));
+        // Each has its own config beside what they share.
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("upgrade-{}", NUMBER.fetch_add(1, Ordering::Relaxed));
+        let proxy = Proxy::start_command(command, &name, 1024, entries, SETTINGS);
+        let line = proxy.logged();
+        let console = line.rsplit(' ').next().unwrap().parse().expect(&line);
+        (proxy, console)
+    }
+
     fn start_command(
         mut command: Command,
         name: &str,
@@ -339,7 +376,8 @@
         let (sender, log) = channel();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let first: String = log.recv_timeout(LONG).expect("a line that names the address");
+        let named = || -> String { log.recv_timeout(LONG).expect("a line that names the address") };
+        let first = std::iter::repeat_with(named).find(|line| line.contains(" listening on ")).unwrap();
         let address = first.rsplit(' ').next().unwrap().parse().expect(&first);
         Proxy { child, address, list, log, text, path }
     }
--- a/crates/proxy/src/console.rs
+++ b/crates/proxy/src/console.rs
@@ -3,6 +3,7 @@
 use crate::config::Fault;
 use crate::core::Core;
 use crate::lobby::{Lobby, Place};
+use crate::upgrade::Upgrades;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
@@ -43,7 +44,8 @@
 
 impl Console {
     pub fn bind(host: &Host, address: SocketAddr, sockets: usize) -> Result<Self, Fault> {
-        let listener = host.listen(address, BACKLOG).map_err(|e| format!("console: {address}: {e}"))?;
+        let listener =
+            host.listen(address, BACKLOG, false).map_err(|e| format!("console: {address}: {e}"))?;
         Ok(Console { listener, lobby: Lobby::new(places(sockets)) })
     }
 
@@ -52,11 +54,11 @@
     }
 
     /// Accepts for ever; each call is a task of its own, where a panic stays.
-    pub async fn serve(self: Rc<Self>, core: Rc<Core>) {
+    pub async fn serve(self: Rc<Self>, core: Rc<Core>, upgrades: Rc<Upgrades>) {
         loop {
             let place = self.lobby.enter(&core).await;
             match self.listener.accept().await {
-                Ok((stream, _)) => drop(core.host.spawn(call(core.clone(), stream, place))),
+                Ok((stream, _)) => drop(core.host.spawn(call(core.clone(), upgrades.clone(), stream, place))),
                 Err(e) => {
                     tracing::warn!(target: "console", "{e}");
                     core.deadlines.until(core.now() + ACCEPT_PAUSE).await;
@@ -67,12 +69,12 @@
 }
 
 /// Hears one call and answers it. What is no whole call in time, or stands in another's way, is closed.
-async fn call(core: Rc<Core>, stream: TcpStream, place: Place) {
+async fn call(core: Rc<Core>, upgrades: Rc<Upgrades>, stream: TcpStream, place: Place) {
     let _ = stream.set_nodelay();
     let served = {
         let core = core.clone();
         service_fn(move |request| {
-            let answer = answer(&core, &request);
+            let answer = answer(&core, &upgrades, &request);
             async move { Ok::<_, Infallible>(answer) }
         })
     };
@@ -104,16 +106,17 @@
 }
 
 /// What the call is owed.
-fn answer(core: &Core, request: &Request<Incoming>) -> Answer {
+fn answer(core: &Core, upgrades: &Upgrades, request: &Request<Incoming>) -> Answer {
     let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
     let get = request.method() == Method::GET;
     match path[..] {
-        ["healthcheck"] if get => said(StatusCode::OK, "serving\n"),
+        ["healthcheck"] if get && upgrades.serving() => said(StatusCode::OK, "serving\n"),
+        ["healthcheck"] if get => said(StatusCode::SERVICE_UNAVAILABLE, "not yet\n"),
         ["stats"] if get => said(StatusCode::OK, core.figures_text()),
         ["healthcheck" | "stats"] => wrong_method("GET"),
         ["label-servers", node, order @ ("maint" | "ready")] if request.method() == Method::POST => {
             let (node, withheld) = (percent_decode_str(node).decode_utf8_lossy(), order == "maint");
-            if !core.withhold(&node, withheld) {
+            if !upgrades.withhold(&node, withheld) {
                 return said(StatusCode::NOT_FOUND, "no machine list ever named it\n");
             }
             tracing::info!(target: "console", "{node}: {order}");
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -50,10 +50,8 @@
 pub trait Decide {
     /// Takes an event in and puts out what is to be done, as [`Balancer::handle`] does.
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
-    /// The number of backends listed, and of those among them that get nothing new.
-    fn census(&self, now: Micros) -> (usize, usize);
-    /// Whether a machine list ever named that backend.
-    fn knows(&self, backend: &str) -> bool;
+    /// What it knows.
+    fn books(&self) -> &Balancer;
 }
 
 impl Decide for Balancer {
@@ -61,12 +59,8 @@
         self.handle(now, event, out);
     }
 
-    fn census(&self, now: Micros) -> (usize, usize) {
-        Balancer::census(self, now)
-    }
-
-    fn knows(&self, backend: &str) -> bool {
-        Balancer::knows(self, backend)
+    fn books(&self) -> &Balancer {
+        self
     }
 }
 
@@ -217,17 +211,23 @@
 
     /// The figures as staff read them, true of this moment.
     pub fn figures_text(&self) -> String {
-        let (listed, avoided) = self.module.borrow().census(self.now());
+        let (listed, avoided) = self.module.borrow().books().census(self.now());
         self.figures.text(Now { jobs: self.jobs(), listed, avoided })
     }
 
-    /// Has an execute node withheld, or gives it back; false where no machine list ever named it.
-    pub fn withhold(&self, node: &str, withheld: bool) -> bool {
-        let known = self.module.borrow().knows(node);
-        if known {
-            self.tell(Event::Withheld(node.into(), withheld));
-        }
-        known
+    /// Whether a machine list ever named that execute node, or staff withhold it.
+    pub fn knows(&self, node: &str) -> bool {
+        self.module.borrow().books().knows(node)
+    }
+
+    /// The execute nodes that staff withhold.
+    pub fn withheld(&self) -> Vec<String> {
+        self.module.borrow().books().withheld().map(str::to_string).collect()
+    }
+
+    /// When an execute node's process last started, as far as the module knows: it may have seen what no list told.
+    pub fn started(&self, node: &str) -> Option<Micros> {
+        self.module.borrow().books().started(node)
     }
 
     /// The jobs whose connections stand.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 mod shutdown;
 mod source;
 mod stream;
+mod upgrade;
 
 pub use self::core::Decide;
 
@@ -27,10 +28,12 @@
 use self::core::Core;
 use self::figures::Figures;
 use self::front::{Front, lines::Lines};
-use self::source::discovery;
-use pierloom_decision::Balancer;
+use self::listener::Listener;
+use self::source::discovery::{self, Roster};
+use self::upgrade::Upgrades;
+use pierloom_decision::{Balancer, ListKind};
 use pierloom_host::{Ended, Host, Signal};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -59,37 +62,45 @@
     let figures = Figures::new(names.class_names()).map_err(|e| format!("figures: {e}"))?;
     let (core, probes) = Core::new(host.clone(), config.settings, module, figures);
     names.doubts.iter().for_each(|doubt| tracing::warn!(target: "config", "{doubt}"));
-    discovery::enter_known(&core, &names, &config.known);
-    let known = Cell::new(Some(config.known.index()));
+    keep_up(&host, "sweep", {
+        let core = core.clone();
+        move || core.clone().sweep()
+    });
+    let upgrades = Upgrades::new(&host, core.clone(), &config.name, config.console.is_some());
+    let inherited = upgrades.take_over().await;
+    let list = inherited.as_ref().map_or(config.known, |inherited| inherited.list.list());
+    let roster = Rc::new(RefCell::new(Roster::default()));
+    discovery::enter(&core, &names, &roster, &list, ListKind::Full);
+    let known = Cell::new(Some(list.index()));
     // Before anyone can know of this proxy: a signal without its handler would end it.
     let signals = |which| host.signals(which).map_err(|e| format!("signals: {e}"));
     let (hangups, terminations) = (signals(Signal::Hangup)?, signals(Signal::Terminate)?);
     let (discovery_moves, address) = watch::channel(config.discovery);
     host.spawn(reload::on_sighup(core.clone(), hangups, config.source, discovery_moves));
-    keep_up(&host, "sweep", {
-        let core = core.clone();
-        move || core.clone().sweep()
-    });
     keep_up(&host, "machine list", {
-        let (core, names) = (core.clone(), names.clone());
-        move || discovery::watch(core.clone(), names.clone(), address.clone(), known.take())
+        let (core, names, roster) = (core.clone(), names.clone(), roster.clone());
+        move || discovery::watch(core.clone(), names.clone(), roster.clone(), address.clone(), known.take())
     });
     host.spawn(probe::serve(core.clone(), front.clone(), probes));
     let reserved = config.console.map_or(0, |_| console::places(config.sockets));
-    let listener = listener::Listener::bind(&host, config.listen, config.sockets, reserved)?;
+    let (socket, before) = match inherited {
+        Some(inherited) => (inherited.listener, Some((inherited.pass, inherited.jobs))),
+        None => (Listener::bind(&host, config.listen, config.console.is_some())?, None),
+    };
+    let listener = Rc::new(Listener::new(&host, socket, config.sockets, reserved));
     tracing::info!(target: "proxy", "{} listening on {}", config.name, listener.address());
     if let Some(address) = config.console {
         let console = Rc::new(Console::bind(&host, address, config.sockets)?);
         tracing::info!(target: "console", "{} listens to staff on {}", config.name, console.address());
-        let core = core.clone();
-        keep_up(&host, "console", move || console.clone().serve(core.clone()));
+        let (core, upgrades) = (core.clone(), upgrades.clone());
+        keep_up(&host, "console", move || console.clone().serve(core.clone(), upgrades.clone()));
     }
     // Ends with the process: new submitters are taken in until then.
     keep_up(&host, "listener", {
-        let core = core.clone();
-        let listener = Rc::new(listener);
+        let (core, listener) = (core.clone(), listener.clone());
         move || listener.clone().serve(core.clone(), front.clone())
     });
+    host.spawn(upgrades.serve(listener, roster, before));
     shutdown::on_sigterm(core, terminations).await;
     Ok(())
 }
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -10,9 +10,11 @@
 use pierloom_decision::Micros;
 use pierloom_host::{Host, TcpListener, TcpStream};
 use std::any::Any;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 /// Descriptors kept for probes, the machine list, the listener and the runtime.
 const RESERVED: usize = 40;
@@ -33,21 +35,76 @@
 /// Takes submitters in.
 pub struct Listener {
     listener: TcpListener,
-    /// Most jobs at once.
+    /// Most jobs at once, of this process and the one before together.
     most: usize,
+    /// Jobs that the process before still holds.
+    elsewhere: Cell<usize>,
+    /// Another process takes submitters in; rung when that changes.
+    closed: Cell<bool>,
+    changed: Notify,
     lobby: Rc<Lobby>,
     /// A descriptor to give up when there is none left to accept with.
     spare: RefCell<Option<Box<dyn Any>>>,
 }
 
 impl Listener {
-    /// Listens there, for as many jobs as `sockets` descriptors allow once `reserved` are taken for other ends.
-    pub fn bind(host: &Host, address: SocketAddr, sockets: usize, reserved: usize) -> Result<Self, Fault> {
-        let listener = host.listen(address, BACKLOG).map_err(|e| format!("listen: {address}: {e}"))?;
+    /// Listens there; beside another process of the same address, where that is wanted.
+    pub fn bind(host: &Host, address: SocketAddr, beside: bool) -> Result<TcpListener, Fault> {
+        host.listen(address, BACKLOG, beside).map_err(|e| format!("listen: {address}: {e}"))
+    }
+
+    /// For as many jobs as `sockets` descriptors allow once `reserved` are taken for other ends.
+    pub fn new(host: &Host, listener: TcpListener, sockets: usize, reserved: usize) -> Self {
         let places = (sockets / LOBBY_PART).max(LOBBY_LEAST);
         let most = (sockets.saturating_sub(RESERVED + places + reserved) / PER_JOB).max(1);
         let spare = RefCell::new(host.spare_descriptor());
-        Ok(Listener { listener, most, lobby: Lobby::new(places), spare })
+        Listener {
+            listener,
+            most,
+            elsewhere: Cell::new(0),
+            closed: Cell::new(false),
+            changed: Notify::new(),
+            lobby: Lobby::new(places),
+            spare,
+        }
+    }
+
+    /// The process before still holds so many jobs, which count as this one's.
+    pub fn held_elsewhere(&self, jobs: usize) {
+        self.elsewhere.set(jobs);
+    }
+
+    /// Leaves the next submitters to the process that shares the listening socket.
+    pub fn close(&self) {
+        self.closed.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Takes submitters in again.
+    pub fn open(&self) {
+        self.closed.set(false);
+        self.changed.notify_one();
+    }
+
+    /// The listening socket, to be given to another process.
+    pub fn socket(&self) -> &TcpListener {
+        &self.listener
+    }
+
+    /// The next submitter, once and while it is for this process to take it in.
+    async fn accept(&self) -> io::Result<TcpStream> {
+        loop {
+            tokio::select! {
+                biased;
+                () = self.changed.notified() => {}
+                accepted = self.listener.accept(), if !self.closed.get() => return accepted.map(|(stream, _)| stream),
+            }
+        }
+    }
+
+    /// How many jobs there may be now.
+    fn room(&self) -> usize {
+        self.most.saturating_sub(self.elsewhere.get())
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -58,12 +115,13 @@
     pub async fn serve(self: Rc<Self>, core: Rc<Core>, front: Rc<dyn Front>) {
         loop {
             let place = self.lobby.enter(&core).await;
-            match self.listener.accept().await {
-                Ok((stream, _)) => {
-                    let (host, core, front, most) =
-                        (core.host.clone(), core.clone(), front.clone(), self.most);
+            match self.accept().await {
+                Ok(stream) => {
+                    let (host, core, front, listener) =
+                        (core.host.clone(), core.clone(), front.clone(), self.clone());
                     host.spawn(async move {
-                        if let Some((stream, opening)) = receive(&core, &*front, stream, place, most).await {
+                        if let Some((stream, opening)) = listener.receive(&core, &*front, stream, place).await
+                        {
                             job::run(core, front, stream, opening).await;
                         }
                     });
@@ -74,8 +132,8 @@
                     drop(self.spare.borrow_mut().take());
                     tokio::select! {
                         biased;
-                        accepted = self.listener.accept() => {
-                            accepted.into_iter().for_each(|(stream, _)| refuse(&stream, &*front));
+                        accepted = self.accept() => {
+                            accepted.into_iter().for_each(|stream| refuse(&stream, &*front));
                         }
                         () = core.deadlines.until(core.now() + ACCEPT_PAUSE) => {}
                     }
@@ -104,40 +162,42 @@
     Gone,
 }
 
-/// Hears a submitter, which has a place in the lobby meanwhile; its job, if it has one and there is room.
-async fn receive(
-    core: &Core,
-    front: &dyn Front,
-    stream: TcpStream,
-    place: Place,
-    most: usize,
-) -> Option<(TcpStream, Box<dyn Opening>)> {
-    stream.set_nodelay().ok()?;
-    let heard = tokio::select! {
-        biased;
-        heard = hear(front, &stream) => heard,
-        () = core.deadlines.until(core.now() + HEARING) => Heard::Wrong,
-        () = place.wanted() => {
-            refuse(&stream, front);
-            return None;
-        }
-    };
-    let words = match heard {
-        Heard::Job(opening) if core.jobs() < most => return Some((stream, opening)),
-        Heard::Job(opening) => {
-            core.figures.ended(opening.request().class, Final::Refused);
-            front.refusal(Some(NO_ROOM))
+impl Listener {
+    /// Hears a submitter, which has a place in the lobby meanwhile; its job, if it has one and there is room.
+    async fn receive(
+        &self,
+        core: &Core,
+        front: &dyn Front,
+        stream: TcpStream,
+        place: Place,
+    ) -> Option<(TcpStream, Box<dyn Opening>)> {
+        stream.set_nodelay().ok()?;
+        let heard = tokio::select! {
+            biased;
+            heard = hear(front, &stream) => heard,
+            () = core.deadlines.until(core.now() + HEARING) => Heard::Wrong,
+            () = place.wanted() => {
+                refuse(&stream, front);
+                return None;
+            }
+        };
+        let words = match heard {
+            Heard::Job(opening) if core.jobs() < self.room() => return Some((stream, opening)),
+            Heard::Job(opening) => {
+                core.figures.ended(opening.request().class, Final::Refused);
+                front.refusal(Some(NO_ROOM))
+            }
+            Heard::Wrong => front.failure(),
+            Heard::Gone => return None,
+        };
+        tokio::select! {
+            // First, so that the words are on their way whatever else is ready.
+            biased;
+            () = answer(core, stream, &words) => {}
+            () = place.wanted() => {}
         }
-        Heard::Wrong => front.failure(),
-        Heard::Gone => return None,
-    };
-    tokio::select! {
-        // First, so that the words are on their way whatever else is ready.
-        biased;
-        () = answer(core, stream, &words) => {}
-        () = place.wanted() => {}
+        None
     }
-    None
 }
 
 /// Reads lines until one opens a job. A submitter waits after that line: with anything behind it, it is none.
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -8,7 +8,9 @@
 use hyper_util::rt::TokioIo;
 use pierloom_decision::{Event, ListKind, Member, MemberState, Micros};
 use pierloom_wire::Names;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -22,7 +24,7 @@
 /// Largest list that is read: thousands of machines; bytes.
 const MOST: usize = 4 << 20;
 
-#[derive(Clone, Copy, Deserialize)]
+#[derive(Clone, Copy, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 enum Status {
     Ready,
@@ -30,8 +32,8 @@
     Gone,
 }
 
-#[derive(Deserialize)]
-struct Endpoint {
+#[derive(Clone, Deserialize, Serialize)]
+pub struct Endpoint {
     name: String,
     #[serde(default)]
     address: String,
@@ -72,8 +74,46 @@
     }
 }
 
+/// The machine list as it stands: all that was told so far, less who is gone.
+#[derive(Clone, Default, Deserialize, Serialize)]
+pub struct Roster {
+    index: u64,
+    endpoints: BTreeMap<String, Endpoint>,
+}
+
+impl Roster {
+    fn enter(&mut self, list: &List, kind: ListKind) {
+        if kind == ListKind::Full {
+            self.endpoints.clear();
+        }
+        self.index = list.index;
+        for endpoint in &list.endpoints {
+            match endpoint.status {
+                Status::Gone => self.endpoints.remove(&endpoint.name),
+                _ => self.endpoints.insert(endpoint.name.clone(), endpoint.clone()),
+            };
+        }
+    }
+
+    /// As discovery would tell it whole.
+    pub fn list(&self) -> List {
+        List { index: self.index, snapshot: true, endpoints: self.endpoints.values().cloned().collect() }
+    }
+
+    /// With the starts that the module knows of and no list told.
+    pub fn seen(&self, core: &Core) -> Self {
+        let mut seen = self.clone();
+        for endpoint in seen.endpoints.values_mut() {
+            let started = core.started(&endpoint.name).unwrap_or(0) / 1_000;
+            endpoint.since_ms = endpoint.since_ms.max(started);
+        }
+        seen
+    }
+}
+
 /// Hands a list to the core: the addresses first, so that whatever the module picks can be dialled.
-pub fn enter(core: &Core, names: &Names, list: &List, kind: ListKind) {
+pub fn enter(core: &Core, names: &Names, roster: &RefCell<Roster>, list: &List, kind: ListKind) {
+    roster.borrow_mut().enter(list, kind);
     for endpoint in &list.endpoints {
         match endpoint.address.parse() {
             Ok(address) => core.set_address(endpoint.name.as_str().into(), address),
@@ -88,11 +128,6 @@
     core.tell(Event::Members { kind, members });
 }
 
-/// The list that the proxy had before its start, however old.
-pub fn enter_known(core: &Core, names: &Names, known: &List) {
-    enter(core, names, known, ListKind::Full);
-}
-
 type Sender = SendRequest<Empty<Bytes>>;
 
 async fn connect(core: &Core, discovery: SocketAddr) -> Result<Sender, String> {
@@ -149,6 +184,7 @@
 pub async fn watch(
     core: Rc<Core>,
     names: Rc<Names>,
+    roster: Rc<RefCell<Roster>>,
     mut discovery: watch::Receiver<SocketAddr>,
     mut known: Option<u64>,
 ) {
@@ -156,7 +192,7 @@
         let address = *discovery.borrow_and_update();
         tokio::select! {
             biased;
-            () = follow(&core, &names, address, known.take()) => {}
+            () = follow(&core, &names, &roster, address, known.take()) => {}
             // An error is the end of the process.
             _ = discovery.changed() => {}
         }
@@ -164,7 +200,13 @@
 }
 
 /// Watches for as long as calls succeed; whether and when to ask again is the module's to say.
-async fn follow(core: &Core, names: &Names, discovery: SocketAddr, mut from: Option<u64>) {
+async fn follow(
+    core: &Core,
+    names: &Names,
+    roster: &RefCell<Roster>,
+    discovery: SocketAddr,
+    mut from: Option<u64>,
+) {
     let mut kept = None;
     if from.is_some() {
         core.asked().await;
@@ -181,7 +223,7 @@
                 let whole = list.snapshot || from.is_none();
                 from = Some(list.index);
                 let kind = if whole { ListKind::Full } else { ListKind::Delta };
-                enter(core, names, &list, kind);
+                enter(core, names, roster, &list, kind);
             }
             Err(why) => {
                 tracing::warn!(target: "machine_list", "a call failed: {why}");
--- /dev/null
+++ b/crates/proxy/src/upgrade.rs
@@ -0,0 +1,295 @@
+//! A process beside this one: taking over from the one that runs, and handing over to the next. What staff withhold
+//! is kept here too, as it outlives the process. Nothing is decided here.
+
+use crate::core::Core;
+use crate::listener::Listener;
+use crate::source::discovery::Roster;
+use pierloom_decision::{BackendId, Event, Micros};
+use pierloom_host::{Host, Pass, TcpListener};
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// The process that runs has this long to hand over; then this one starts beside it; microseconds.
+const ANSWER: Micros = 2_000_000;
+/// It has this long to stop accepting; then this one says yes all the same; microseconds.
+const RELEASE: Micros = 1_000_000;
+/// The next process has this long to start; then another may ask; microseconds.
+const START: Micros = 6_000_000;
+/// The number of jobs is told this often where it changes; microseconds.
+const STEP: Micros = 100_000;
+/// Pause after an offer that failed; microseconds.
+const OFFER_PAUSE: Micros = 1_000_000;
+
+/// What two processes say to each other.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Word {
+    /// What the new one starts with, beside the listening socket.
+    State(State),
+    /// The new one serves.
+    Taken,
+    /// The old one accepts no more.
+    Released,
+    /// Staff withhold an execute node, or (false) gave it back.
+    Withheld(String, bool),
+    /// The old one holds so many jobs.
+    Jobs(usize),
+}
+
+/// What a process hands over.
+#[derive(Serialize, Deserialize)]
+struct State {
+    withheld: Vec<String>,
+    /// The machine list as it stands.
+    list: Roster,
+    jobs: usize,
+}
+
+/// What this process took over.
+pub struct Inherited {
+    pub listener: TcpListener,
+    pub list: Roster,
+    pub jobs: usize,
+    pub pass: Pass,
+}
+
+/// Where the process beside this one is met, and what staff withhold is kept.
+struct Place {
+    socket: PathBuf,
+    withheld: PathBuf,
+}
+
+pub struct Upgrades {
+    core: Rc<Core>,
+    /// None where there is no second address.
+    place: Option<Place>,
+    /// The processes beside this one: the one before, the one after.
+    beside: RefCell<Vec<UnboundedSender<Word>>>,
+    serving: Cell<bool>,
+}
+
+/// A file name made of the proxy's name.
+fn file_name(name: &str) -> String {
+    let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+    format!("pierloom-{}", name.chars().map(plain).collect::<String>())
+}
+
+impl Upgrades {
+    /// With a second address, in the folder that both processes share.
+    pub fn new(host: &Host, core: Rc<Core>, name: &str, console: bool) -> Rc<Self> {
+        let folder = host.variable("TMPDIR").filter(|_| console);
+        let place = folder.map(|folder| {
+            let base = PathBuf::from(folder).join(file_name(name));
+            Place { socket: base.with_extension("sock"), withheld: base.with_extension("withheld") }
+        });
+        Rc::new(Upgrades { core, place, beside: RefCell::default(), serving: Cell::new(false) })
+    }
+
+    /// Whether this process can serve.
+    pub fn serving(&self) -> bool {
+        self.serving.get()
+    }
+
+    /// Takes over from the process that runs, if there is one, and has withheld what staff withheld before.
+    pub async fn take_over(&self) -> Option<Inherited> {
+        let place = self.place.as_ref()?;
+        let asked = async {
+            let pass = self.core.host.ask(&place.socket).await?;
+            let listener = pass.take().await?;
+            match read(pass.hear().await?)? {
+                Word::State(state) => Ok((pass, listener, state)),
+                _ => Err(io::ErrorKind::InvalidData.into()),
+            }
+        };
+        let answer: io::Result<(Pass, TcpListener, State)> = tokio::select! {
+            biased;
+            answer = asked => answer,
+            () = self.core.deadlines.until(self.core.now() + ANSWER) => Err(io::ErrorKind::TimedOut.into()),
+        };
+        match answer {
+            Ok((pass, listener, State { withheld, list, jobs })) => {
+                tracing::info!(target: "upgrade", "takes over from the process that runs, which holds {jobs} jobs");
+                withheld.iter().for_each(|node| self.enter(node, true));
+                Some(Inherited { listener, list, jobs, pass })
+            }
+            Err(e) => {
+                let nobody = [io::ErrorKind::NotFound, io::ErrorKind::ConnectionRefused].contains(&e.kind());
+                if !nobody {
+                    tracing::warn!(target: "upgrade", "starts without what the process that runs knows: {e}");
+                }
+                self.read_withheld(place);
+                None
+            }
+        }
+    }
+
+    /// What was withheld when a process of this name last wrote it down. Guards against a mark that is lost with a
+    /// process that was killed, or with a hand-over that was cut.
+    fn read_withheld(&self, place: &Place) {
+        let nodes = match self.core.host.read_file(&place.withheld) {
+            Ok(mut bytes) => {
+                simd_json::serde::from_slice::<Vec<String>>(&mut bytes).map_err(|e| e.to_string())
+            }
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return,
+            Err(e) => Err(e.to_string()),
+        };
+        match nodes {
+            Ok(nodes) => nodes.iter().for_each(|node| self.enter(node, true)),
+            Err(e) => {
+                tracing::warn!(target: "upgrade", "{}: nothing is withheld: {e}", place.withheld.display())
+            }
+        }
+    }
+
+    fn enter(&self, node: &str, withheld: bool) {
+        self.core.tell(Event::Withheld(BackendId::from(node), withheld));
+    }
+
+    /// Has an execute node withheld, or gives it back; false where nobody has it. It is written down, and told to the
+    /// process beside this one, before the yes.
+    pub fn withhold(&self, node: &str, withheld: bool) -> bool {
+        if !self.core.knows(node) {
+            return false;
+        }
+        self.enter(node, withheld);
+        if let Some(place) = &self.place {
+            let nodes = serde_json::to_vec(&self.core.withheld()).unwrap_or_default();
+            if let Err(e) = self.core.host.write_file(&place.withheld, &nodes) {
+                tracing::warn!(target: "upgrade", "{}: {e}", place.withheld.display());
+            }
+        }
+        self.beside.borrow_mut().retain(|one| one.send(Word::Withheld(node.to_string(), withheld)).is_ok());
+        true
+    }
+
+    /// What this process has to tell another one from now on.
+    fn tells(&self) -> UnboundedReceiver<Word> {
+        let (sender, words) = unbounded_channel();
+        self.beside.borrow_mut().push(sender);
+        words
+    }
+
+    /// Serves from here on: accepts alone once the one before does no more, and offers to hand over in its turn.
+    pub async fn serve(
+        self: Rc<Self>,
+        listener: Rc<Listener>,
+        list: Rc<RefCell<Roster>>,
+        before: Option<(Pass, usize)>,
+    ) {
+        if let Some((pass, jobs)) = before {
+            listener.held_elsewhere(jobs);
+            let (upgrades, beside) = (self.clone(), listener.clone());
+            let released = Rc::new(tokio::sync::Notify::new());
+            let rung = released.clone();
+            self.core.host.spawn(async move {
+                let end = upgrades.follow(&pass, &beside, &rung).await;
+                tracing::info!(target: "upgrade", "the process before has ended ({})", end.kind());
+                beside.held_elsewhere(0);
+                // One that has ended accepts no more.
+                rung.notify_one();
+            });
+            tokio::select! {
+                biased;
+                () = released.notified() => {}
+                () = self.core.deadlines.until(self.core.now() + RELEASE) => {}
+            }
+        }
+        self.serving.set(true);
+        let Some(place) = &self.place else { return };
+        loop {
+            let met = match self.core.host.offer(&place.socket) {
+                Ok(offers) => offers.next().await,
+                Err(e) => Err(e),
+            };
+            match met {
+                Ok(pass) => self.hand_over(&pass, &listener, &list).await,
+                Err(e) => {
+                    tracing::warn!(target: "upgrade", "{}: {e}", place.socket.display());
+                    self.core.deadlines.until(self.core.now() + OFFER_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// The new process's side, until the old one has ended; how it ended.
+    async fn follow(&self, pass: &Pass, listener: &Listener, released: &tokio::sync::Notify) -> io::Error {
+        let mut tells = self.tells();
+        if let Err(e) = say(pass, &Word::Taken).await {
+            return e;
+        }
+        loop {
+            let heard = tokio::select! {
+                biased;
+                heard = pass.hear() => heard.and_then(read),
+                Some(word) = tells.recv() => match say(pass, &word).await {
+                    Ok(()) => continue,
+                    Err(e) => return e,
+                },
+            };
+            match heard {
+                Ok(Word::Released) => released.notify_one(),
+                Ok(Word::Withheld(node, withheld)) => self.enter(&node, withheld),
+                Ok(Word::Jobs(jobs)) => listener.held_elsewhere(jobs),
+                Ok(Word::State(_) | Word::Taken) => {}
+                Err(e) => return e,
+            }
+        }
+    }
+
+    /// The old process's side, until the new one has ended, or did not start in time.
+    async fn hand_over(&self, pass: &Pass, listener: &Listener, list: &RefCell<Roster>) {
+        let mut tells = self.tells();
+        let state = State {
+            withheld: self.core.withheld(),
+            list: list.borrow().seen(&self.core),
+            jobs: self.core.jobs(),
+        };
+        let end = async {
+            pass.give(listener.socket()).await?;
+            say(pass, &Word::State(state)).await?;
+            let (mut taken, mut told) = (false, None);
+            let until = self.core.now() + START;
+            loop {
+                tokio::select! {
+                    biased;
+                    heard = pass.hear() => match read(heard?)? {
+                        Word::Taken => {
+                            tracing::info!(target: "upgrade", "the process after takes over");
+                            listener.close();
+                            taken = true;
+                            say(pass, &Word::Released).await?;
+                        }
+                        Word::Withheld(node, withheld) => self.enter(&node, withheld),
+                        Word::State(_) | Word::Released | Word::Jobs(_) => {}
+                    },
+                    Some(word) = tells.recv() => say(pass, &word).await?,
+                    () = self.core.deadlines.until(self.core.now() + STEP) => {
+                        if !taken && self.core.now() > until {
+                            return Err::<(), io::Error>(io::ErrorKind::TimedOut.into());
+                        }
+                        let jobs = self.core.jobs();
+                        if taken && told.replace(jobs) != Some(jobs) {
+                            say(pass, &Word::Jobs(jobs)).await?;
+                        }
+                    }
+                }
+            }
+        };
+        if let Err(e) = end.await {
+            tracing::warn!(target: "upgrade", "the process after has ended ({}): this one goes on", e.kind());
+        }
+        listener.open();
+    }
+}
+
+fn read(mut word: Vec<u8>) -> io::Result<Word> {
+    simd_json::serde::from_slice(&mut word).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+}
+
+async fn say(pass: &Pass, word: &Word) -> io::Result<()> {
+    pass.say(&serde_json::to_vec(word)?).await
+}
--- a/crates/world/src/net.rs
+++ b/crates/world/src/net.rs
@@ -734,7 +734,7 @@
         Box::pin(Connecting { sim: self.sim.clone(), from: self.id, to, descriptor, stage })
     }
 
-    fn listen(&self, at: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+    fn listen(&self, at: SocketAddr, backlog: i32, _: bool) -> io::Result<TcpListener> {
         let descriptor = Descriptor::take(&self.process)?;
         let mut net = self.sim.net.borrow_mut();
         if net.listeners.contains_key(&at) {
--- a/crates/world/src/real.rs
+++ b/crates/world/src/real.rs
@@ -69,8 +69,8 @@
         Box::pin(async move { os.connect(to).await })
     }
 
-    fn listen(&self, at: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
-        self.0.os.listen(at, backlog)
+    fn listen(&self, at: SocketAddr, backlog: i32, beside: bool) -> io::Result<TcpListener> {
+        self.0.os.listen(at, backlog, beside)
     }
 
     fn signals(&self, _: Signal) -> io::Result<Signals> {
@@ -101,7 +101,7 @@
 /// A free loopback address: the listener that found it is closed again.
 fn free(host: &Host) -> Result<SocketAddr, String> {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    Ok(host.listen(any, 1).map_err(|e| e.to_string())?.address())
+    Ok(host.listen(any, 1, false).map_err(|e| e.to_string())?.address())
 }
 
 /// Plays a script in real time. Of the faults it knows crashes, drains, slowness and late reports; with any
@@ -121,7 +121,7 @@
     let entries = entries.map(|(i, address)| entry(script, i, *address, "ready", None)).collect();
     let book = Book::new(entries);
     let (host, _discovery) = process("");
-    let listener = host.listen(free(&host)?, 64).map_err(|e| e.to_string())?;
+    let listener = host.listen(free(&host)?, 64, false).map_err(|e| e.to_string())?;
     let discovery = listener.address();
     host.spawn(Service::new(book.clone(), host.clone()).serve(listener));
     let weather: Vec<_> = script.nodes.iter().map(|_| Weather::fair(late.clone())).collect();
@@ -140,7 +140,7 @@
                 weather[index].clone(),
                 rng,
             );
-            let listener = host.listen(addresses[index], 1024).ok()?;
+            let listener = host.listen(addresses[index], 1024, false).ok()?;
             host.spawn(node.clone().serve(listener));
             Some((kill, node))
         }
--- a/crates/world/src/run.rs
+++ b/crates/world/src/run.rs
@@ -287,7 +287,7 @@
         self.discovery.set(id);
         let service = Service::new(self.book.clone(), host.clone());
         *self.service.borrow_mut() = Some(service.clone());
-        if let Ok(listener) = host.listen(address, 64) {
+        if let Ok(listener) = host.listen(address, 64, false) {
             host.spawn(service.serve(listener));
         }
     }
@@ -302,7 +302,7 @@
         let rng = stream(self.script.order, &format!("{} {}", spec.name, cold_since.unwrap_or(0)));
         let weather = self.weather[index].clone();
         let node = Node::new(spec.clone(), host.clone(), warming, cold_since, weather, rng);
-        if let Ok(listener) = host.listen(address, 1024) {
+        if let Ok(listener) = host.listen(address, 1024, false) {
             host.spawn(node.clone().serve(listener));
         }
         let mut nodes = self.nodes.borrow_mut();
