An upgrade hands standing connections on to the new process; nobody is moved

Change: a relay can part from its two sockets and what is under way (Flow); the old process passes them one at a time with SCM_RIGHTS and keeps its copies until the new one holds them; the job goes on there as one that stood before.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -208,7 +208,7 @@
                 self.on_members(now, ListKind::Delta, &[], out);
             }
             Event::Request(request) => self.on_request(now, request, out),
-            Event::Open(request, backend) => self.open(now, request, &backend),
+            Event::Open(new, at) => self.open(now, new, &at).into_iter().for_each(|i| self.clear_out(i, out)),
             Event::Established { id, attempt, latency } => {
                 if let Some((i, request)) = self.establish(now, id, attempt) {
                     self.learn(&request, latency);
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -500,12 +500,13 @@
         load.known + f64::from(load.unknown) * usual
     }
 
-    /// Enters a connection that stands already.
-    pub(crate) fn open(&mut self, now: Micros, request: Request, backend: &BackendId) {
-        let Some(&i) = self.index.get(backend) else { return };
+    /// Enters a connection that stands already; its backend.
+    pub(crate) fn open(&mut self, now: Micros, request: Request, backend: &BackendId) -> Option<usize> {
+        let &i = self.index.get(backend)?;
         let id = request.id;
         self.begin(Work::new(request), i, now, Micros::MAX);
         self.establish(now, id, 0);
+        Some(i)
     }
 
     /// Enters since when each backend is withdrawn; those that now are.
@@ -606,6 +607,11 @@
         self.withheld.iter().map(|backend| &**backend)
     }
 
+    /// The load of an open connection, where known; microseconds of work a second.
+    pub fn load_of(&self, id: RequestId) -> Option<f64> {
+        self.works.get(&id).and_then(|work| work.load)
+    }
+
     /// When that backend's process last started, as listed or observed; 0 for long ago.
     pub fn started(&self, backend: &str) -> Option<Micros> {
         self.index.get(backend).map(|&i| self.backends[i].started)
--- a/crates/decision/tests/withheld.rs
+++ b/crates/decision/tests/withheld.rs
@@ -116,3 +116,17 @@
     }
     assert!(used_soon >= 40, "among the first two on {used_soon} of 50 seeds");
 }
+
+/// Guards against connections that another process handed on, left at a backend that leaves: no news of it follows.
+#[test]
+fn a_connection_taken_over_at_a_backend_that_leaves_is_moved() {
+    let mut d = Driver::new(settings(), 2);
+    withhold(&mut d, true);
+    let open = |d: &mut Driver, id| {
+        let request = Request { id, key: Some(id), ..Request::default() };
+        d.event(Event::Open(request, NODE.into()))
+    };
+    let mut out: Vec<Action> = (0..5).flat_map(|id| open(&mut d, id)).collect();
+    out.retain(|action| !matches!(action, Action::Send { .. }));
+    assert_eq!(settle(&mut d, out, 3 * S), 5);
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,7 +12,7 @@
 mod task;
 
 pub use net::{Interest, Listening, TcpListener, TcpStream, Wire};
-pub use pass::{Offers, Pass};
+pub use pass::{Offers, Pass, Socket};
 pub use task::{Ended, Signals, Task};
 
 use std::any::Any;
--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -112,6 +112,14 @@
         }
     }
 
+    /// Its descriptor, to be given to another process.
+    pub(crate) fn descriptor(&self) -> io::Result<BorrowedFd<'_>> {
+        match &self.0 {
+            Stream::Os(stream) => Ok(stream.as_fd()),
+            Stream::Made(_) => Err(io::ErrorKind::Unsupported.into()),
+        }
+    }
+
     /// Sends each write at once; a machine of another kind always does.
     pub fn set_nodelay(&self) -> io::Result<()> {
         match &self.0 {
--- a/crates/host/src/pass.rs
+++ b/crates/host/src/pass.rs
@@ -1,14 +1,16 @@
-//! Two processes of one machine beside each other: a listening socket and words pass between them, through a socket
+//! Two processes of one machine beside each other: sockets and words pass between them, through a socket
 //! in a folder that both share.
 
-use crate::TcpListener;
+use crate::{TcpListener, TcpStream};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
 };
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
+use std::os::fd::{BorrowedFd, OwnedFd};
 use std::path::Path;
 use tokio::io::Interest;
 use tokio::net::{UnixListener, UnixStream};
@@ -17,8 +19,8 @@
 const MOST: usize = 8 << 20;
 /// What is read at once; bytes.
 const PART: usize = 16 << 10;
-/// Goes with the listening socket: a descriptor passes only beside a byte.
-const BESIDE: [u8; 1] = *b"L";
+/// The most sockets that go with one word.
+const SOCKETS: usize = 2;
 
 /// Where a process waits for the one that is to take over.
 pub struct Offers(UnixListener);
@@ -37,57 +39,58 @@
     /// The next process that asks. Nothing is lost when this is dropped before its end.
     pub async fn next(&self) -> io::Result<Pass> {
         let (stream, _) = self.0.accept().await?;
-        Ok(Pass { stream, heard: RefCell::default() })
+        Ok(Pass::of(stream))
     }
 }
 
-/// A connection to the process beside this one. Words are lines.
+/// What passes beside a word.
+pub enum Socket<'a> {
+    /// One that listens.
+    Listener(&'a TcpListener),
+    /// A connection.
+    Stream(&'a TcpStream),
+}
+
+impl Socket<'_> {
+    fn descriptor(&self) -> io::Result<BorrowedFd<'_>> {
+        match self {
+            Socket::Listener(listener) => listener.descriptor(),
+            Socket::Stream(stream) => stream.descriptor(),
+        }
+    }
+}
+
+/// A connection to the process beside this one. Words are lines; sockets may go with them.
 pub struct Pass {
     stream: UnixStream,
     heard: RefCell<Vec<u8>>,
+    sockets: RefCell<VecDeque<OwnedFd>>,
 }
 
 impl Pass {
+    fn of(stream: UnixStream) -> Self {
+        Pass { stream, heard: RefCell::default(), sockets: RefCell::default() }
+    }
+
     /// Asks whoever offers at that path.
     pub(crate) async fn to(path: &Path) -> io::Result<Self> {
-        Ok(Pass { stream: UnixStream::connect(path).await?, heard: RefCell::default() })
+        Ok(Pass::of(UnixStream::connect(path).await?))
     }
 
-    /// Gives a listening socket; it stays open here too. It comes before all words.
-    pub async fn give(&self, listener: &TcpListener) -> io::Result<()> {
-        let socket = [listener.descriptor()?];
-        let sent = self.stream.async_io(Interest::WRITABLE, || {
-            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    /// Says a word, which holds no end of line, with two sockets at most. They stay open here too.
+    pub async fn say(&self, word: &[u8], sockets: &[Socket<'_>]) -> io::Result<()> {
+        let descriptors: Vec<BorrowedFd<'_>> =
+            sockets.iter().map(Socket::descriptor).collect::<io::Result<_>>()?;
+        let first = self.stream.async_io(Interest::WRITABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(SOCKETS))];
             let mut rights = SendAncillaryBuffer::new(&mut space);
-            rights.push(SendAncillaryMessage::ScmRights(&socket));
-            Ok(sendmsg(&self.stream, &[IoSlice::new(&BESIDE)], &mut rights, SendFlags::NOSIGNAL)?)
-        });
-        sent.await.map(drop)
-    }
-
-    /// Takes the listening socket that the other gives.
-    pub async fn take(&self) -> io::Result<TcpListener> {
-        let taken = self.stream.async_io(Interest::READABLE, || {
-            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-            let mut rights = RecvAncillaryBuffer::new(&mut space);
-            let mut beside = [0; BESIDE.len()];
-            let into = &mut [IoSliceMut::new(&mut beside)];
-            recvmsg(&self.stream, into, &mut rights, RecvFlags::CMSG_CLOEXEC)?;
-            let sockets = rights.drain().filter_map(|message| match message {
-                RecvAncillaryMessage::ScmRights(mut sockets) => sockets.next(),
-                _ => None,
-            });
-            Ok(sockets.last())
+            if !descriptors.is_empty() && !rights.push(SendAncillaryMessage::ScmRights(&descriptors)) {
+                return Err(ErrorKind::InvalidInput.into());
+            }
+            Ok(sendmsg(&self.stream, &[IoSlice::new(word)], &mut rights, SendFlags::NOSIGNAL)?)
         });
-        let socket = taken.await?.ok_or(ErrorKind::UnexpectedEof)?;
-        let listener = std::net::TcpListener::from(socket);
-        listener.set_nonblocking(true)?;
-        TcpListener::os(tokio::net::TcpListener::from_std(listener)?)
-    }
-
-    /// Says a word, which holds no end of line.
-    pub async fn say(&self, word: &[u8]) -> io::Result<()> {
-        for mut part in [word, b"\n"] {
+        let written = first.await?;
+        for mut part in [&word[written..], b"\n"] {
             while !part.is_empty() {
                 self.stream.writable().await?;
                 match self.stream.try_write(part) {
@@ -116,14 +119,42 @@
                     return Err(ErrorKind::InvalidData.into());
                 }
             }
-            self.stream.readable().await?;
-            let mut part = [0; PART];
-            match self.stream.try_read(&mut part) {
-                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
-                Ok(read) => self.heard.borrow_mut().extend_from_slice(&part[..read]),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
+            // No await lies between the read and the entry of what it brought.
+            let read = self.stream.async_io(Interest::READABLE, || {
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(SOCKETS))];
+                let mut rights = RecvAncillaryBuffer::new(&mut space);
+                let mut part = [0; PART];
+                let into = &mut [IoSliceMut::new(&mut part)];
+                let read = recvmsg(&self.stream, into, &mut rights, RecvFlags::CMSG_CLOEXEC)?.bytes;
+                for message in rights.drain() {
+                    if let RecvAncillaryMessage::ScmRights(sockets) = message {
+                        self.sockets.borrow_mut().extend(sockets);
+                    }
+                }
+                self.heard.borrow_mut().extend_from_slice(&part[..read]);
+                Ok(read)
+            });
+            if read.await? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
             }
         }
     }
+
+    fn next_socket(&self) -> io::Result<OwnedFd> {
+        self.sockets.borrow_mut().pop_front().ok_or_else(|| ErrorKind::InvalidData.into())
+    }
+
+    /// The next socket that came with a word, which listens.
+    pub fn listener(&self) -> io::Result<TcpListener> {
+        let listener = std::net::TcpListener::from(self.next_socket()?);
+        listener.set_nonblocking(true)?;
+        TcpListener::os(tokio::net::TcpListener::from_std(listener)?)
+    }
+
+    /// The next socket that came with a word, a connection.
+    pub fn stream(&self) -> io::Result<TcpStream> {
+        let stream = std::net::TcpStream::from(self.next_socket()?);
+        stream.set_nonblocking(true)?;
+        Ok(tokio::net::TcpStream::from_std(stream)?.into())
+    }
 }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -2,7 +2,9 @@
 
 use crate::deadlines::Deadlines;
 use crate::figures::{Figures, Final, Now};
+use crate::job::Connection;
 use crate::ledger::{Cause, Ledger};
+use crate::relay::Standing;
 use pierloom_decision::{
     Action, BackendId, Balancer, Ended, Event, Micros, Note, RequestId, Settings, Status,
 };
@@ -13,8 +15,8 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::pin;
 use std::rc::Rc;
-use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, oneshot};
 
 /// Notes of kind 2 come at most this often for each execute node; microseconds.
 const NOTE_GAP: Micros = 1_000_000;
@@ -32,6 +34,16 @@
     Fail,
     /// Send the submitter away politely; before it is served, nothing.
     Move,
+    /// Hand the connection on to the process after, once it stands.
+    HandOn,
+}
+
+/// A connection on its way to the process after.
+pub struct HandedOn {
+    pub connection: Connection,
+    pub standing: Standing,
+    /// Told once the other holds it, or given it back.
+    pub done: oneshot::Sender<Result<(), Standing>>,
 }
 
 struct Entry {
@@ -79,6 +91,8 @@
     noted: RefCell<BTreeMap<BackendId, Noted>>,
     ledger: RefCell<Ledger>,
     pub figures: Figures,
+    /// The process after, once it has taken over.
+    after: RefCell<Option<UnboundedSender<HandedOn>>>,
     /// Rung when the last job has left.
     idle: Notify,
     /// Set when the process is about to end, and rung then.
@@ -109,6 +123,7 @@
             asked: Notify::new(),
             probes,
             noted: RefCell::default(),
+            after: RefCell::default(),
             idle: Notify::new(),
             ending: Cell::new(false),
             ends: Notify::new(),
@@ -204,6 +219,27 @@
         self.tell(Event::Noted(id, Note::Delay(delay)));
     }
 
+    /// There is a process after this one, which takes what is handed on, or (none) there is none any more.
+    pub fn set_after(&self, after: Option<UnboundedSender<HandedOn>>) {
+        *self.after.borrow_mut() = after;
+    }
+
+    /// Whether connections can be handed on.
+    pub fn has_after(&self) -> bool {
+        self.after.borrow().is_some()
+    }
+
+    /// Hands a connection on; it is back where nobody took it.
+    pub async fn hand_on(&self, connection: Connection, standing: Standing) -> Result<(), Standing> {
+        let (done, told) = oneshot::channel();
+        let Some(after) = self.after.borrow().clone() else { return Err(standing) };
+        match after.send(HandedOn { connection, standing, done }) {
+            // Whoever takes it gives it back before it ends; a connection that a panic there lost is lost.
+            Ok(()) => told.await.unwrap_or(Ok(())),
+            Err(unsent) => Err(unsent.0.standing),
+        }
+    }
+
     /// The number of jobs.
     pub fn jobs(&self) -> usize {
         self.jobs.borrow().len()
@@ -266,7 +302,7 @@
     core: Rc<Core>,
     pub id: RequestId,
     class: usize,
-    identity: String,
+    pub identity: String,
     pub orders: UnboundedReceiver<Order>,
     /// Number of attempts begun.
     attempts: u32,
@@ -303,9 +339,24 @@
         self.core.tell(Event::Established { id: self.id, attempt: self.attempts - 1, latency });
     }
 
+    /// The connection stands already, came from the process before, and was counted there.
+    pub fn adopted(&mut self) {
+        self.settle();
+        self.mark_standing();
+    }
+
+    /// Its load, as the module last heard of it; microseconds of work a second.
+    pub fn load(&self) -> Option<f64> {
+        self.core.module.borrow().books().load_of(self.id)
+    }
+
     /// The connection stands already, and the module was told so.
     pub fn hold(&mut self) {
         self.answered(Final::Served);
+        self.mark_standing();
+    }
+
+    fn mark_standing(&self) {
         if let Some(job) = self.core.jobs.borrow_mut().get_mut(&self.id) {
             job.standing = true;
         }
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -4,10 +4,11 @@
 use crate::core::{Core, Order, Seat};
 use crate::figures::Final;
 use crate::front::{Front, Opening};
-use crate::relay;
+use crate::relay::{self, Passage, Standing};
 use crate::stream::{answer, read_more};
 use pierloom_decision::{BackendId, Event, Micros, Request, Status};
 use pierloom_host::TcpStream;
+use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
 /// The final answer leaves this long before the submitter stops waiting: it has a way to go; microseconds.
@@ -31,7 +32,7 @@
     if let Some(node) = standing_at {
         return resume(&core, &*front, seat, submitter, &*opening, request, node).await;
     }
-    core.tell(Event::Request(request));
+    core.tell(Event::Request(request.clone()));
     let link = loop {
         let order = tokio::select! {
             biased;
@@ -70,7 +71,7 @@
                 seat.answered(Final::Failed);
                 return answer(&core, submitter, &front.failure()).await;
             }
-            Order::Move => {}
+            Order::Move | Order::HandOn => {}
         }
     };
     let Some((link, node)) = link else {
@@ -79,8 +80,71 @@
         return answer(&core, submitter, &front.failure()).await;
     };
     seat.stand();
-    let ending = relay::run(&core, &*front, &mut seat, &node, submitter, link).await;
-    seat.end(ending.status());
+    let (standing, behind) = Standing::fresh(submitter, link);
+    stand(&core, &*front, seat, node, request, standing, behind).await;
+}
+
+/// The life of a connection that is up, here until its end or until another process holds it.
+async fn stand(
+    core: &Core,
+    front: &dyn Front,
+    mut seat: Seat,
+    node: BackendId,
+    request: Request,
+    mut standing: Standing,
+    mut behind: Vec<u8>,
+) {
+    loop {
+        match relay::run(core, front, &mut seat, &node, standing, std::mem::take(&mut behind)).await {
+            Passage::Over(ending) => return seat.end(ending.status()),
+            Passage::Parted(parted) => {
+                let kept = core.hand_on(Connection::new(&seat, &node, &request), parted).await;
+                // Where nobody took it, the submitter is moved, as it would be without another process.
+                let Err(back) = kept else { return seat.end(Status::Cancelled) };
+                standing = back;
+                core.order(seat.id, Order::Move);
+            }
+        }
+    }
+}
+
+/// A connection that stands, as one process tells another of it.
+#[derive(Deserialize, Serialize)]
+pub struct Connection {
+    identity: String,
+    node: String,
+    class: usize,
+    key: Option<u64>,
+    group: Option<u64>,
+    /// Its load as last known; microseconds of work a second.
+    load: Option<f64>,
+}
+
+impl Connection {
+    fn new(seat: &Seat, node: &BackendId, request: &Request) -> Self {
+        Connection {
+            identity: seat.identity.clone(),
+            node: node.to_string(),
+            class: request.class,
+            key: request.key,
+            group: request.group,
+            load: seat.load().or(request.hint),
+        }
+    }
+}
+
+/// Takes a connection over from the process before; false where its job is here already.
+pub fn adopt(core: &Rc<Core>, front: Rc<dyn Front>, connection: Connection, standing: Standing) -> bool {
+    let Connection { identity, node, class, key, group, load } = connection;
+    let Some(mut seat) = Seat::take(core, &identity, class) else { return false };
+    let (node, request) =
+        (BackendId::from(node), Request { id: seat.id, class, key, group, hint: load, ..Request::default() });
+    seat.begin();
+    core.tell(Event::Open(request.clone(), node.clone()));
+    seat.adopted();
+    let held = core.clone();
+    core.host.spawn(async move { stand(&held, &*front, seat, node, request, standing, Vec::new()).await });
+    true
 }
 
 /// Takes up a connection again that stood before this proxy's start, at the execute node that holds it.
@@ -113,10 +177,10 @@
         }
     };
     seat.begin();
-    core.tell(Event::Open(request, node.clone()));
+    core.tell(Event::Open(request.clone(), node.clone()));
     seat.hold();
-    let ending = relay::run(core, front, &mut seat, &node, submitter, link).await;
-    seat.end(ending.status());
+    let (standing, behind) = Standing::fresh(submitter, link);
+    stand(core, front, seat, node, request, standing, behind).await;
 }
 
 /// How a submitter ended its wait for an answer.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -66,7 +66,7 @@
         let core = core.clone();
         move || core.clone().sweep()
     });
-    let upgrades = Upgrades::new(&host, core.clone(), &config.name, config.console.is_some());
+    let upgrades = Upgrades::new(core.clone(), front.clone(), &config.name, config.console.is_some());
     let inherited = upgrades.take_over().await;
     let list = inherited.as_ref().map_or(config.known, |inherited| inherited.list.list());
     let roster = Rc::new(RefCell::new(Roster::default()));
@@ -100,8 +100,8 @@
         let (core, listener) = (core.clone(), listener.clone());
         move || listener.clone().serve(core.clone(), front.clone())
     });
-    host.spawn(upgrades.serve(listener, roster, before));
-    shutdown::on_sigterm(core, terminations).await;
+    host.spawn(upgrades.serve(listener.clone(), roster, before));
+    shutdown::on_sigterm(core, listener, terminations).await;
     Ok(())
 }
 
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -42,6 +42,9 @@
     /// Another process takes submitters in; rung when that changes.
     closed: Cell<bool>,
     changed: Notify,
+    /// Those who were taken in and not heard yet; rung when there are none.
+    hearing: Cell<usize>,
+    all_heard: Notify,
     lobby: Rc<Lobby>,
     /// A descriptor to give up when there is none left to accept with.
     spare: RefCell<Option<Box<dyn Any>>>,
@@ -64,6 +67,8 @@
             elsewhere: Cell::new(0),
             closed: Cell::new(false),
             changed: Notify::new(),
+            hearing: Cell::new(0),
+            all_heard: Notify::new(),
             lobby: Lobby::new(places),
             spare,
         }
@@ -74,6 +79,18 @@
         self.elsewhere.set(jobs);
     }
 
+    /// One of those that the process before held may be this one's now.
+    pub fn one_less_elsewhere(&self, one_less: bool) {
+        self.elsewhere.set(self.elsewhere.get().saturating_sub(usize::from(one_less)));
+    }
+
+    /// Waits until all who were taken in have been heard.
+    pub async fn heard(&self) {
+        while self.hearing.get() > 0 {
+            self.all_heard.notified().await;
+        }
+    }
+
     /// Leaves the next submitters to the process that shares the listening socket.
     pub fn close(&self) {
         self.closed.set(true);
@@ -117,12 +134,15 @@
             let place = self.lobby.enter(&core).await;
             match self.accept().await {
                 Ok(stream) => {
-                    let (host, core, front, listener) =
-                        (core.host.clone(), core.clone(), front.clone(), self.clone());
+                    let (host, core, front) = (core.host.clone(), core.clone(), front.clone());
+                    let hearing = Hearing::of(self.clone());
                     host.spawn(async move {
-                        if let Some((stream, opening)) = listener.receive(&core, &*front, stream, place).await
-                        {
-                            job::run(core, front, stream, opening).await;
+                        let heard = hearing.0.receive(&core, &*front, stream, place).await;
+                        if let Some((stream, opening)) = heard {
+                            let job = job::run(core, front, stream, opening);
+                            // The job has its seat before it waits for anything.
+                            drop(hearing);
+                            job.await;
                         }
                     });
                 }
@@ -145,6 +165,25 @@
     }
 }
 
+/// One who was taken in and is being heard; over when this is dropped.
+struct Hearing(Rc<Listener>);
+
+impl Hearing {
+    fn of(listener: Rc<Listener>) -> Self {
+        listener.hearing.set(listener.hearing.get() + 1);
+        Hearing(listener)
+    }
+}
+
+impl Drop for Hearing {
+    fn drop(&mut self) {
+        self.0.hearing.set(self.0.hearing.get() - 1);
+        if self.0.hearing.get() == 0 {
+            self.0.all_heard.notify_waiters();
+        }
+    }
+}
+
 /// Says that there is no room, without waiting.
 fn refuse(stream: &TcpStream, front: &dyn Front) {
     // What lies unread at a close would make it a reset, which could take the words back.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -6,8 +6,10 @@
 use crate::stream::{ENDING, LONGEST_LINE, answer};
 use pierloom_decision::{BackendId, Event, Micros, Note, Status};
 use pierloom_host::{Interest, TcpStream};
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::io;
+
 /// A message without its answer is reported this often; microseconds.
 const SILENT_STEP: Micros = 1_000_000;
 /// An execute node that stops within a line gets this long to finish it before a move; microseconds.
@@ -18,7 +20,7 @@
 const WAITING: usize = 64;
 
 /// One direction: a bounded buffer between two sockets.
-#[derive(Default)]
+#[derive(Default, Deserialize, Serialize)]
 struct Pipe {
     buffer: Vec<u8>,
     ended: bool,
@@ -60,7 +62,7 @@
 }
 
 /// Splits what passes into lines, and keeps the beginning of each.
-#[derive(Default)]
+#[derive(Default, Deserialize, Serialize)]
 struct Lines {
     head: Vec<u8>,
     within: bool,
@@ -83,12 +85,9 @@
     }
 }
 
-/// A connection that is up, between a submitter and an execute node.
-struct Relay<'a> {
-    core: &'a Core,
-    front: &'a dyn Front,
-    seat: &'a mut Seat,
-    node_id: &'a BackendId,
+/// What is under way between a submitter and an execute node: all that another process needs to go on.
+#[derive(Default, Deserialize, Serialize)]
+pub struct Flow {
     /// From the submitter to the execute node, and back.
     up: Pipe,
     down: Pipe,
@@ -96,6 +95,29 @@
     down_lines: Lines,
     /// When each message went in that has no answer yet.
     waiting: VecDeque<Micros>,
+}
+
+/// A connection that is up: both its sides, and what is under way between them.
+pub struct Standing {
+    pub submitter: TcpStream,
+    pub node: TcpStream,
+    pub flow: Flow,
+}
+
+/// How a relay came to its end.
+pub enum Passage {
+    Over(Ending),
+    /// It is to go on in another process.
+    Parted(Standing),
+}
+
+/// A connection that is up, between a submitter and an execute node.
+struct Relay<'a> {
+    core: &'a Core,
+    front: &'a dyn Front,
+    seat: &'a mut Seat,
+    node_id: &'a BackendId,
+    flow: Flow,
     next_silent: Micros,
     /// The submitter does not take what it is sent, so that nothing more is read from the execute node.
     stalled: bool,
@@ -105,14 +127,16 @@
     move_wanted: Option<Micros>,
     /// The last word to the submitter is in the buffer, or out.
     farewell: bool,
+    /// It is to go on in another process, unless it ends.
+    parting: bool,
     ended_at: Option<Micros>,
 }
 
 impl Relay<'_> {
     /// Books the lines that passed from the submitter.
     fn went_up(&mut self) {
-        let (now, waiting) = (self.core.now(), &mut self.waiting);
-        self.up_lines.feed(&self.up.buffer, |_| {
+        let (now, waiting) = (self.core.now(), &mut self.flow.waiting);
+        self.flow.up_lines.feed(&self.flow.up.buffer, |_| {
             if waiting.is_empty() {
                 self.next_silent = now + SILENT_STEP;
             }
@@ -124,9 +148,10 @@
 
     /// Books the lines that passed from the execute node.
     fn went_down(&mut self) {
-        let (now, front, waiting, said) = (self.core.now(), self.front, &mut self.waiting, &mut self.said);
+        let (now, front, waiting, said) =
+            (self.core.now(), self.front, &mut self.flow.waiting, &mut self.said);
         let (mut load, mut delay) = (None, None);
-        self.down_lines.feed(&self.down.buffer, |line| match front.reply(line) {
+        self.flow.down_lines.feed(&self.flow.down.buffer, |line| match front.reply(line) {
             Reply::Load(value) => load = Some(value),
             reply @ (Reply::Bye | Reply::Move) => *said = Some(reply),
             _ => {
@@ -146,7 +171,7 @@
 
     /// Reports a message that waits for its answer.
     fn silent(&mut self) {
-        let Some(&since) = self.waiting.front() else { return };
+        let Some(&since) = self.flow.waiting.front() else { return };
         let now = self.core.now();
         self.next_silent = now + SILENT_STEP;
         self.core.note_delay(self.seat.id, self.node_id, now - since);
@@ -155,7 +180,8 @@
 
     /// When the relay has to look again though nothing comes.
     fn look_at(&self) -> Micros {
-        let silent = if self.waiting.is_empty() || self.stalled { Micros::MAX } else { self.next_silent };
+        let silent =
+            if self.flow.waiting.is_empty() || self.stalled { Micros::MAX } else { self.next_silent };
         let ending = self.ended_at.map_or(Micros::MAX, |at| at + ENDING);
         // An ending needs no move: a deadline of one that has passed would be looked at again and again.
         let moving = self.move_wanted.filter(|_| self.ended_at.is_none());
@@ -167,24 +193,24 @@
     fn pass(&mut self, submitter: &TcpStream, node: &TcpStream) -> Result<(), Broke> {
         // Down first: what an execute node said before it closed is still there to read, and a write to it fails.
         // After the last word nothing may follow.
-        if !self.farewell && self.down.read(node).map_err(|_| Broke::Node)? > 0 {
+        if !self.farewell && self.flow.down.read(node).map_err(|_| Broke::Node)? > 0 {
             self.went_down();
         }
-        self.down.write(submitter).map_err(|_| Broke::Submitter)?;
+        self.flow.down.write(submitter).map_err(|_| Broke::Submitter)?;
         self.note_stall();
-        if self.up.read(submitter).map_err(|_| Broke::Submitter)? > 0 {
+        if self.flow.up.read(submitter).map_err(|_| Broke::Submitter)? > 0 {
             self.went_up();
         }
-        self.up.write(node).map_err(|_| Broke::Node)
+        self.flow.up.write(node).map_err(|_| Broke::Node)
     }
 
     /// Guards against blaming an execute node for a submitter that does not read: what the node says lies unread
     /// meanwhile, and its time to answer begins anew after that.
     fn note_stall(&mut self) {
-        let stalled = !self.down.buffer.is_empty();
+        let stalled = !self.flow.down.buffer.is_empty();
         if std::mem::replace(&mut self.stalled, stalled) && !stalled {
             let now = self.core.now();
-            self.waiting.iter_mut().for_each(|since| *since = now);
+            self.flow.waiting.iter_mut().for_each(|since| *since = now);
             self.next_silent = now + SILENT_STEP;
             self.move_wanted = self.move_wanted.map(|_| now);
         }
@@ -194,7 +220,7 @@
     fn cause(&mut self) -> Cause {
         match self.said.take() {
             Some(said) => Cause::Said(said),
-            None if self.up.ended => Cause::Left,
+            None if self.flow.up.ended => Cause::Left,
             None => Cause::Broke,
         }
     }
@@ -206,39 +232,49 @@
     Node,
 }
 
-/// Passes bytes both ways at once and unchanged until the connection ends; how it ended.
+impl Standing {
+    /// One that has just come up. The answer that brought it up is no answer to a message; what came behind it may be.
+    pub fn fresh(submitter: TcpStream, link: Link) -> (Self, Vec<u8>) {
+        let Link { stream: node, mut received } = link;
+        let after = received.iter().position(|&byte| byte == b'\n').map_or(received.len(), |at| at + 1);
+        let behind = received.split_off(after);
+        let flow = Flow { down: Pipe { buffer: received, ..Pipe::default() }, ..Flow::default() };
+        (Standing { submitter, node, flow }, behind)
+    }
+}
+
+/// Passes bytes both ways at once and unchanged until the connection ends, or is to go on elsewhere. What came
+/// `behind` the answer that brought it up is read along first.
 pub async fn run(
     core: &Core,
     front: &dyn Front,
     seat: &mut Seat,
     node_id: &BackendId,
-    submitter: TcpStream,
-    link: Link,
-) -> Ending {
-    let ending = |cause| Ending { reach: Reach::Up, cause };
-    let Link { stream: node, received } = link;
+    standing: Standing,
+    behind: Vec<u8>,
+) -> Passage {
+    let ending = |cause| Passage::Over(Ending { reach: Reach::Up, cause });
+    let Standing { submitter, node, flow } = standing;
+    let next_silent = flow.waiting.front().map_or(Micros::MAX, |at| (at + SILENT_STEP).max(core.now()));
     let mut relay = Relay {
         core,
         front,
         seat,
         node_id,
-        up: Pipe::default(),
-        down: Pipe::default(),
-        up_lines: Lines::default(),
-        down_lines: Lines::default(),
-        waiting: VecDeque::new(),
-        next_silent: Micros::MAX,
-        stalled: false,
+        stalled: !flow.down.buffer.is_empty(),
+        flow,
+        next_silent,
         said: None,
         move_wanted: None,
         farewell: false,
+        parting: false,
         ended_at: None,
     };
-    // The answer that brought the connection up is no answer to a message; what came behind it may be.
-    let after = received.iter().position(|&byte| byte == b'\n').map_or(received.len(), |at| at + 1);
-    relay.down.buffer = received[after..].to_vec();
-    relay.went_down();
-    relay.down.buffer = received;
+    let answer_up = std::mem::replace(&mut relay.flow.down.buffer, behind);
+    if !relay.flow.down.buffer.is_empty() {
+        relay.went_down();
+    }
+    relay.flow.down.buffer.splice(..0, answer_up);
     loop {
         match relay.pass(&submitter, &node) {
             Ok(()) => {}
@@ -248,30 +284,37 @@
             }
             Err(Broke::Node) => {
                 // What it said before belongs to the submitter; then the reset is passed on.
-                let _ = relay.down.write(&submitter);
+                let _ = relay.flow.down.write(&submitter);
                 submitter.reset_on_close();
                 return ending(relay.cause());
             }
         }
         let now = core.now();
-        if relay.up.passed_end && relay.down.passed_end {
+        if relay.flow.up.passed_end && relay.flow.down.passed_end {
             return ending(relay.cause());
         }
-        if relay.ended_at.is_none() && (relay.up.ended || relay.down.ended) {
+        if relay.ended_at.is_none() && (relay.flow.up.ended || relay.flow.down.ended) {
             relay.ended_at = Some(now);
         }
         if relay.ended_at.is_some_and(|at| now >= at + ENDING) {
             return ending(relay.cause());
         }
+        if std::mem::take(&mut relay.parting)
+            && relay.ended_at.is_none()
+            && relay.move_wanted.is_none()
+            && relay.said.is_none()
+        {
+            return Passage::Parted(Standing { flow: relay.flow, submitter, node });
+        }
         if let Some(wanted) = relay.move_wanted.filter(|_| relay.ended_at.is_none()) {
-            let between = relay.down.buffer.is_empty() && !relay.down_lines.within;
+            let between = relay.flow.down.buffer.is_empty() && !relay.flow.down_lines.within;
             if between && !relay.farewell {
                 // The execute node is let go only when the word is out: a submitter that reads late gets it late.
                 relay.farewell = true;
-                relay.down.buffer.extend_from_slice(front.farewell());
+                relay.flow.down.buffer.extend_from_slice(front.farewell());
                 continue;
             }
-            if relay.farewell && relay.down.buffer.is_empty()
+            if relay.farewell && relay.flow.down.buffer.is_empty()
                 || !relay.farewell && !relay.stalled && now >= wanted + HALF_LINE
             {
                 drop(node);
@@ -284,23 +327,23 @@
             relay.silent();
         }
         let at_submitter = Interest {
-            read: !relay.up.ended && relay.up.buffer.is_empty(),
-            write: !relay.down.buffer.is_empty(),
+            read: !relay.flow.up.ended && relay.flow.up.buffer.is_empty(),
+            write: !relay.flow.down.buffer.is_empty(),
         };
         let at_node = Interest {
-            read: !relay.down.ended && relay.down.buffer.is_empty(),
-            write: !relay.up.buffer.is_empty(),
+            read: !relay.flow.down.ended && relay.flow.down.buffer.is_empty(),
+            write: !relay.flow.up.buffer.is_empty(),
         };
         let look_at = relay.look_at();
         tokio::select! {
             biased;
             () = submitter.ready(at_submitter) => {}
             () = node.ready(at_node) => {}
-            order = relay.seat.orders.recv() => {
-                if matches!(order, Some(Order::Move)) {
-                    relay.move_wanted.get_or_insert(core.now());
-                }
-            }
+            order = relay.seat.orders.recv() => match order {
+                Some(Order::Move) => drop(relay.move_wanted.get_or_insert(core.now())),
+                Some(Order::HandOn) => relay.parting = true,
+                _ => {}
+            },
             () = core.deadlines.until(look_at) => {}
         }
     }
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,6 +1,7 @@
 //! The planned stop: new submitters still come for a moment, and all are sent away in a spread.
 
 use crate::core::{Core, Order};
+use crate::listener::Listener;
 use pierloom_decision::Micros;
 use pierloom_host::Signals;
 use std::rc::Rc;
@@ -22,12 +23,15 @@
 const STEP: Micros = 20_000;
 
 /// Waits for SIGTERM and serves the rest of the process's life.
-pub async fn on_sigterm(core: Rc<Core>, mut terminations: Signals) {
+pub async fn on_sigterm(core: Rc<Core>, listener: Rc<Listener>, mut terminations: Signals) {
     terminations.recv().await;
     let told = core.now();
     let longest = core.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let kill = told + longest.min(LONGEST_COUNTED) + KILL_SLACK;
     let last_move = kill.saturating_sub(MOVED_EARLY).max(told);
+    if hand_on(&core, &listener, last_move).await {
+        return;
+    }
     core.deadlines.until(told + STILL_COMING.min(kill - told)).await;
     while core.now() < last_move {
         let (left, standing) = (last_move - core.now(), core.standing());
@@ -59,3 +63,20 @@
         () = core.deadlines.until(kill - ENDED_EARLY) => {}
     }
 }
+
+/// Where another process has taken over, it gets every connection as soon as it stands; true once all are with it, or
+/// have ended. Who was taken in and not heard yet is heard first. False where there is none, or it ended meanwhile.
+async fn hand_on(core: &Core, listener: &Listener, until: Micros) -> bool {
+    while core.has_after() && core.now() < until {
+        core.standing().into_iter().for_each(|id| core.order(id, Order::HandOn));
+        tokio::select! {
+            biased;
+            () = async {
+                listener.heard().await;
+                core.idle().await;
+            } => return core.jobs() == 0,
+            () = core.deadlines.until((core.now() + LAST_STEP).min(until)) => {}
+        }
+    }
+    false
+}
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -1,17 +1,21 @@
 //! A process beside this one: taking over from the one that runs, and handing over to the next. What staff withhold
 //! is kept here too, as it outlives the process. Nothing is decided here.
 
-use crate::core::Core;
+use crate::core::{Core, HandedOn};
+use crate::front::Front;
+use crate::job::{self, Connection};
 use crate::listener::Listener;
+use crate::relay::{Flow, Standing};
 use crate::source::discovery::Roster;
 use pierloom_decision::{BackendId, Event, Micros};
-use pierloom_host::{Host, Pass, TcpListener};
+use pierloom_host::{Pass, Socket, TcpListener};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
 
 /// The process that runs has this long to hand over; then this one starts beside it; microseconds.
 const ANSWER: Micros = 2_000_000;
@@ -24,6 +28,9 @@
 /// Pause after an offer that failed; microseconds.
 const OFFER_PAUSE: Micros = 1_000_000;
 
+/// Told when the other holds a connection, or given it back.
+type Done = oneshot::Sender<Result<(), Standing>>;
+
 /// What two processes say to each other.
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -38,6 +45,10 @@
     Withheld(String, bool),
     /// The old one holds so many jobs.
     Jobs(usize),
+    /// A connection that stands, with its sockets: the submitter's, then the execute node's.
+    Connection(Connection, Flow),
+    /// The new one holds the connection that came last, or (false) cannot.
+    Holds(bool),
 }
 
 /// What a process hands over.
@@ -67,6 +78,7 @@
     core: Rc<Core>,
     /// None where there is no second address.
     place: Option<Place>,
+    front: Rc<dyn Front>,
     /// The processes beside this one: the one before, the one after.
     beside: RefCell<Vec<UnboundedSender<Word>>>,
     serving: Cell<bool>,
@@ -80,13 +92,13 @@
 
 impl Upgrades {
     /// With a second address, in the folder that both processes share.
-    pub fn new(host: &Host, core: Rc<Core>, name: &str, console: bool) -> Rc<Self> {
-        let folder = host.variable("TMPDIR").filter(|_| console);
+    pub fn new(core: Rc<Core>, front: Rc<dyn Front>, name: &str, console: bool) -> Rc<Self> {
+        let folder = core.host.variable("TMPDIR").filter(|_| console);
         let place = folder.map(|folder| {
             let base = PathBuf::from(folder).join(file_name(name));
             Place { socket: base.with_extension("sock"), withheld: base.with_extension("withheld") }
         });
-        Rc::new(Upgrades { core, place, beside: RefCell::default(), serving: Cell::new(false) })
+        Rc::new(Upgrades { core, place, front, beside: RefCell::default(), serving: Cell::new(false) })
     }
 
     /// Whether this process can serve.
@@ -99,11 +111,11 @@
         let place = self.place.as_ref()?;
         let asked = async {
             let pass = self.core.host.ask(&place.socket).await?;
-            let listener = pass.take().await?;
-            match read(pass.hear().await?)? {
-                Word::State(state) => Ok((pass, listener, state)),
-                _ => Err(io::ErrorKind::InvalidData.into()),
-            }
+            let Word::State(state) = read(pass.hear().await?)? else {
+                return Err(io::ErrorKind::InvalidData.into());
+            };
+            let listener = pass.listener()?;
+            Ok((pass, listener, state))
         };
         let answer: io::Result<(Pass, TcpListener, State)> = tokio::select! {
             biased;
@@ -234,12 +246,25 @@
                 Ok(Word::Released) => released.notify_one(),
                 Ok(Word::Withheld(node, withheld)) => self.enter(&node, withheld),
                 Ok(Word::Jobs(jobs)) => listener.held_elsewhere(jobs),
-                Ok(Word::State(_) | Word::Taken) => {}
+                Ok(Word::Connection(connection, flow)) => {
+                    let holds = self.adopt(pass, connection, flow);
+                    // It is none of the old one's any more, and counts here.
+                    listener.one_less_elsewhere(holds);
+                    if let Err(e) = say(pass, &Word::Holds(holds)).await {
+                        return e;
+                    }
+                }
+                Ok(Word::State(_) | Word::Taken | Word::Holds(_)) => {}
                 Err(e) => return e,
             }
         }
     }
 
+    fn adopt(&self, pass: &Pass, connection: Connection, flow: Flow) -> bool {
+        let (Ok(submitter), Ok(node)) = (pass.stream(), pass.stream()) else { return false };
+        job::adopt(&self.core, self.front.clone(), connection, Standing { submitter, node, flow })
+    }
+
     /// The old process's side, until the new one has ended, or did not start in time.
     async fn hand_over(&self, pass: &Pass, listener: &Listener, list: &RefCell<Roster>) {
         let mut tells = self.tells();
@@ -248,9 +273,10 @@
             list: list.borrow().seen(&self.core),
             jobs: self.core.jobs(),
         };
+        let (sender, mut handed) = unbounded_channel::<HandedOn>();
+        let mut under_way: Option<(Standing, Done)> = None;
         let end = async {
-            pass.give(listener.socket()).await?;
-            say(pass, &Word::State(state)).await?;
+            say_with(pass, &Word::State(state), &[Socket::Listener(listener.socket())]).await?;
             let (mut taken, mut told) = (false, None);
             let until = self.core.now() + START;
             loop {
@@ -260,13 +286,28 @@
                         Word::Taken => {
                             tracing::info!(target: "upgrade", "the process after takes over");
                             listener.close();
+                            self.core.set_after(Some(sender.clone()));
                             taken = true;
                             say(pass, &Word::Released).await?;
                         }
                         Word::Withheld(node, withheld) => self.enter(&node, withheld),
-                        Word::State(_) | Word::Released | Word::Jobs(_) => {}
+                        Word::Holds(holds) => {
+                            if let Some((standing, done)) = under_way.take() {
+                                // Its copies are closed here only now.
+                                let _ = done.send(if holds { Ok(()) } else { Err(standing) });
+                            }
+                        }
+                        Word::State(_) | Word::Released | Word::Jobs(_) | Word::Connection(..) => {}
                     },
                     Some(word) = tells.recv() => say(pass, &word).await?,
+                    Some(one) = handed.recv(), if under_way.is_none() => {
+                        let HandedOn { connection, standing: Standing { submitter, node, flow }, done } = one;
+                        let word = Word::Connection(connection, flow);
+                        let sent = say_with(pass, &word, &[Socket::Stream(&submitter), Socket::Stream(&node)]).await;
+                        let Word::Connection(_, flow) = word else { continue };
+                        under_way = Some((Standing { submitter, node, flow }, done));
+                        sent?;
+                    }
                     () = self.core.deadlines.until(self.core.now() + STEP) => {
                         if !taken && self.core.now() > until {
                             return Err::<(), io::Error>(io::ErrorKind::TimedOut.into());
@@ -282,6 +323,13 @@
         if let Err(e) = end.await {
             tracing::warn!(target: "upgrade", "the process after has ended ({}): this one goes on", e.kind());
         }
+        self.core.set_after(None);
+        // What the other did not take goes on here.
+        handed.close();
+        let queued = std::iter::from_fn(|| handed.try_recv().ok()).map(|one| (one.standing, one.done));
+        for (standing, done) in under_way.into_iter().chain(queued) {
+            let _ = done.send(Err(standing));
+        }
         listener.open();
     }
 }
@@ -291,5 +339,9 @@
 }
 
 async fn say(pass: &Pass, word: &Word) -> io::Result<()> {
-    pass.say(&serde_json::to_vec(word)?).await
+    say_with(pass, word, &[]).await
+}
+
+async fn say_with(pass: &Pass, word: &Word, sockets: &[Socket<'_>]) -> io::Result<()> {
+    pass.say(&serde_json::to_vec(word)?, sockets).await
 }
