What the module learned goes on in the next process at an upgrade

Change: Experience: the learned curve, set-ups, turns, and of each backend its start, failures, ceiling, slowness, tokens.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -321,6 +321,8 @@
     },
     /// Staff withhold a backend, whatever the list says, or (false) gave it back.
     Withheld(BackendId, bool),
+    /// What the module learned whose place this one takes, after its list.
+    Inherited(Box<crate::Experience>),
     /// A client's request arrives; it is owed one final answer.
     Request(Request),
     /// A connection that already stands when the balancer starts.
--- /dev/null
+++ b/crates/decision/src/experience.rs
@@ -0,0 +1,88 @@
+//! What a module has learned, for the one that goes on in its place. Requests are not part of it. Nothing here decides.
+
+use crate::api::Micros;
+use crate::state::{Balancer, Slice};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What is known of one backend beside the list. Times are on the clock that all processes read.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Known {
+    started: Micros,
+    failures: f64,
+    failed_at: Micros,
+    /// None where it was never slow.
+    ceiling: Option<f64>,
+    cut_at: Micros,
+    slow_until: Micros,
+    shed_until: Micros,
+    tokens: f64,
+    tokens_at: Micros,
+}
+
+/// All that a module has learned since its start.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Experience {
+    since: Option<Micros>,
+    set_ups: u64,
+    width: f64,
+    slices: Vec<Slice>,
+    /// None before anything was set up.
+    least_delay: Option<f64>,
+    arrival_rate: f64,
+    p: f64,
+    turns: Vec<(Micros, f64)>,
+    backends: BTreeMap<String, Known>,
+}
+
+impl Balancer {
+    /// What it has learned so far.
+    pub fn experience(&self) -> Experience {
+        let finite = |value: f64| Some(value).filter(|value| value.is_finite());
+        let known = |i: usize| {
+            let backend = &self.backends[i];
+            Known {
+                started: backend.started,
+                failures: backend.failures,
+                failed_at: backend.failed_at,
+                ceiling: finite(backend.ceiling),
+                cut_at: backend.cut_at,
+                slow_until: backend.slow_until,
+                shed_until: backend.shed_until,
+                tokens: backend.tokens,
+                tokens_at: backend.tokens_at,
+            }
+        };
+        Experience {
+            since: self.started,
+            set_ups: self.set_ups,
+            width: self.admission.width,
+            slices: self.admission.slices.clone(),
+            least_delay: finite(self.admission.least_delay),
+            arrival_rate: self.admission.arrival_rate,
+            p: self.admission.p,
+            turns: self.turns.iter().copied().collect(),
+            backends: self.index.iter().map(|(name, &i)| (name.to_string(), known(i))).collect(),
+        }
+    }
+
+    /// Goes on with what another learned, for the backends that a list named here.
+    pub(crate) fn inherit(&mut self, learned: Experience) {
+        self.started = learned.since.or(self.started);
+        self.set_ups += learned.set_ups;
+        self.turns = learned.turns.into();
+        let admission = &mut self.admission;
+        (admission.width, admission.slices, admission.p) = (learned.width, learned.slices, learned.p);
+        admission.least_delay = learned.least_delay.unwrap_or(f64::INFINITY);
+        admission.arrival_rate = learned.arrival_rate;
+        for (name, known) in learned.backends {
+            let Some(&i) = self.index.get(name.as_str()) else { continue };
+            let backend = &mut self.backends[i];
+            backend.started = backend.started.max(known.started);
+            (backend.failures, backend.failed_at) = (known.failures, known.failed_at);
+            (backend.ceiling, backend.cut_at) = (known.ceiling.unwrap_or(f64::INFINITY), known.cut_at);
+            (backend.slow_until, backend.shed_until) = (known.slow_until, known.shed_until);
+            (backend.tokens, backend.tokens_at) = (known.tokens, known.tokens_at);
+        }
+    }
+}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -20,11 +20,13 @@
 //! ```
 
 pub mod api;
+mod experience;
 pub mod logic;
 mod state;
 mod table;
 
 pub use api::*;
+pub use experience::Experience;
 pub use logic::Balancer;
 
 /// Keeps the example in the README compiling and running.
--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -203,6 +203,7 @@
         }
         match event {
             Event::Members { kind, members } => self.on_members(now, kind, &members, out),
+            Event::Inherited(learned) => self.inherit(*learned),
             Event::Withheld(backend, withheld) => {
                 self.withhold(now, &backend, withheld);
                 self.on_members(now, ListKind::Delta, &[], out);
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use crate::table::Table;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Timer tokens: learning tick, look at the held requests, renewed subscription, moves, watching probes.
@@ -191,7 +192,7 @@
 
 /// A slice of the learned curve: mean and squared deviations of both coordinates over `n` ticks.
 /// Rate in slice widths, delay in aims.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Slice {
     pub n: f64,
     pub rate: f64,
@@ -612,11 +613,6 @@
         self.works.get(&id).and_then(|work| work.load)
     }
 
-    /// When that backend's process last started, as listed or observed; 0 for long ago.
-    pub fn started(&self, backend: &str) -> Option<Micros> {
-        self.index.get(backend).map(|&i| self.backends[i].started)
-    }
-
     /// Who has entries: whoever is listed, and for a while whoever the list withdrew where not binding.
     pub(crate) fn in_table(&self, i: usize, now: Micros) -> bool {
         let backend = &self.backends[i];
--- a/crates/decision/tests/withheld.rs
+++ b/crates/decision/tests/withheld.rs
@@ -130,3 +130,25 @@
     out.retain(|action| !matches!(action, Action::Send { .. }));
     assert_eq!(settle(&mut d, out, 3 * S), 5);
 }
+
+/// Guards against a process that starts in another's place and knows nothing: it would let cold backends stand empty
+/// and try failing ones anew.
+#[test]
+fn what_was_learned_goes_on_in_the_next_module() {
+    let mut d = Driver::new(settings(), 3);
+    (0..40).for_each(|id| drop(d.connect(id)));
+    let failing = sent(&d.request(100)).unwrap();
+    for id in 101..400 {
+        if sent(&d.request(id)).as_ref() == Some(&failing) {
+            d.ended(id, 0, Status::ConnectFailed, false);
+        }
+    }
+    assert_eq!(d.balancer.census(d.now), (3, 1));
+    let mut next = Driver::new(settings(), 3);
+    next.now = d.now;
+    assert_eq!(next.balancer.census(next.now), (3, 0));
+    next.event(Event::Inherited(Box::new(d.balancer.experience())));
+    assert_eq!(next.balancer.census(next.now), (3, 1));
+    let text = |balancer: &Balancer| format!("{:?}", balancer.experience());
+    assert_eq!(text(&next.balancer), text(&d.balancer));
+}
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -6,7 +6,7 @@
 use crate::ledger::{Cause, Ledger};
 use crate::relay::Standing;
 use pierloom_decision::{
-    Action, BackendId, Balancer, Ended, Event, Micros, Note, RequestId, Settings, Status,
+    Action, BackendId, Balancer, Ended, Event, Experience, Micros, Note, RequestId, Settings, Status,
 };
 use pierloom_host::Host;
 use std::cell::{Cell, RefCell};
@@ -261,9 +261,9 @@
         self.module.borrow().books().withheld().map(str::to_string).collect()
     }
 
-    /// When an execute node's process last started, as far as the module knows: it may have seen what no list told.
-    pub fn started(&self, node: &str) -> Option<Micros> {
-        self.module.borrow().books().started(node)
+    /// What the module has learned.
+    pub fn experience(&self) -> Experience {
+        self.module.borrow().books().experience()
     }
 
     /// The jobs whose connections stand.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -31,7 +31,7 @@
 use self::listener::Listener;
 use self::source::discovery::{self, Roster};
 use self::upgrade::Upgrades;
-use pierloom_decision::{Balancer, ListKind};
+use pierloom_decision::{Balancer, Event, ListKind};
 use pierloom_host::{Ended, Host, Signal};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -84,7 +84,10 @@
     host.spawn(probe::serve(core.clone(), front.clone(), probes));
     let reserved = config.console.map_or(0, |_| console::places(config.sockets));
     let (socket, before) = match inherited {
-        Some(inherited) => (inherited.listener, Some((inherited.pass, inherited.jobs))),
+        Some(inherited) => {
+            core.tell(Event::Inherited(Box::new(inherited.learned)));
+            (inherited.listener, Some((inherited.pass, inherited.jobs)))
+        }
         None => (Listener::bind(&host, config.listen, config.console.is_some())?, None),
     };
     let listener = Rc::new(Listener::new(&host, socket, config.sockets, reserved));
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -99,16 +99,6 @@
     pub fn list(&self) -> List {
         List { index: self.index, snapshot: true, endpoints: self.endpoints.values().cloned().collect() }
     }
-
-    /// With the starts that the module knows of and no list told.
-    pub fn seen(&self, core: &Core) -> Self {
-        let mut seen = self.clone();
-        for endpoint in seen.endpoints.values_mut() {
-            let started = core.started(&endpoint.name).unwrap_or(0) / 1_000;
-            endpoint.since_ms = endpoint.since_ms.max(started);
-        }
-        seen
-    }
 }
 
 /// Hands a list to the core: the addresses first, so that whatever the module picks can be dialled.
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -7,7 +7,7 @@
 use crate::listener::Listener;
 use crate::relay::{Flow, Standing};
 use crate::source::discovery::Roster;
-use pierloom_decision::{BackendId, Event, Micros};
+use pierloom_decision::{BackendId, Event, Experience, Micros};
 use pierloom_host::{Pass, Socket, TcpListener};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -57,6 +57,7 @@
     withheld: Vec<String>,
     /// The machine list as it stands.
     list: Roster,
+    learned: Experience,
     jobs: usize,
 }
 
@@ -64,6 +65,7 @@
 pub struct Inherited {
     pub listener: TcpListener,
     pub list: Roster,
+    pub learned: Experience,
     pub jobs: usize,
     pub pass: Pass,
 }
@@ -123,10 +125,10 @@
             () = self.core.deadlines.until(self.core.now() + ANSWER) => Err(io::ErrorKind::TimedOut.into()),
         };
         match answer {
-            Ok((pass, listener, State { withheld, list, jobs })) => {
+            Ok((pass, listener, State { withheld, list, learned, jobs })) => {
                 tracing::info!(target: "upgrade", "takes over from the process that runs, which holds {jobs} jobs");
                 withheld.iter().for_each(|node| self.enter(node, true));
-                Some(Inherited { listener, list, jobs, pass })
+                Some(Inherited { listener, list, learned, jobs, pass })
             }
             Err(e) => {
                 let nobody = [io::ErrorKind::NotFound, io::ErrorKind::ConnectionRefused].contains(&e.kind());
@@ -270,7 +272,8 @@
         let mut tells = self.tells();
         let state = State {
             withheld: self.core.withheld(),
-            list: list.borrow().seen(&self.core),
+            list: list.borrow().clone(),
+            learned: self.core.experience(),
             jobs: self.core.jobs(),
         };
         let (sender, mut handed) = unbounded_channel::<HandedOn>();
