A node started as planned takes what its size can do while it warms up

Lines: tokens in logic.rs; planned, guide and able in state.rs. Half of the bound, as what is saved may come beside what the next window brings; load is counted against what a cold node can do now.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -484,7 +484,7 @@
         if self.settings.load_report.is_some() {
             let usable = entries.iter().copied().filter(|&i| room_at(i, false) <= now);
             let full = |i: usize, load: f64| {
-                let with_it = load + self.work_load(work) / self.capacity(i);
+                let with_it = load + self.work_load(work) / self.able(i, now);
                 load >= 1.0 || informed && (with_it >= MOST_GOAL || self.backends[i].slow_until > now)
             };
             let rank = |&i: &usize| match self.expected(i, now, PACE, informed) {
@@ -701,9 +701,10 @@
         let fall = self.settings.fall as f64 / 1e6;
         let age = now.saturating_sub(self.started.unwrap_or(now)).max(self.admission.tick) as f64 / 1e6;
         let part = self.weight(i) * COLD_PART / self.admission.capacity.max(f64::MIN_POSITIVE);
-        // All relays together send a cold backend a connection in two windows, whatever was seen before.
+        // All relays together send it a connection in two windows, and one started as planned what it can do.
         let least = 0.5 / (fall * f64::from(self.settings.relays)).max(1e-3);
-        let rate = (self.set_ups as f64 / age * part * share * self.settings.fall_multiple).max(least);
+        let rate = self.set_ups as f64 / age * part * share * self.settings.fall_multiple;
+        let rate = rate.max(least).max(self.guide(i, share) / fall);
         let (window, passed) = (rate * fall, now.saturating_sub(self.backends[i].tokens_at) as f64 / 1e6);
         (self.backends[i].tokens + rate * passed).min(window.max((window * SAVED_WINDOWS).min(1.0)))
     }
@@ -716,8 +717,7 @@
         self.rng.f64() < tokens
     }
 
-    /// Exception "called back": guards against a backend that stays empty after staff gave it back: the next
-    /// request is for it, within our part of what all may send it cold.
+    /// Exception "called back": guards against a backend that stays empty once given back: next is its turn.
     fn recall(&mut self, now: Micros, work: &Work) -> Option<usize> {
         let i = self.ready().find(|&i| self.backends[i].recalled && !self.many())?;
         let sound = self.allowed(now, work, i) && !work.tried.contains(&i) && !self.suspect(i, now);
@@ -734,15 +734,15 @@
         if !roomy || work.tried.contains(&i) || !self.allowed(now, work, i) || self.suspect(i, now) {
             return None;
         }
-        let turn =
-            self.spend_turn(now, self.settings.fall, self.cold_part(size)) * self.cold_share(i, now)?;
+        let turn = self.spend_turn(now, self.settings.fall, self.cold_part(size, COLD_PART))
+            * self.cold_share(i, now)?;
         (self.rng.f64() < turn).then_some(i)
     }
 
     /// Our part of the connections that all may open in a window at backends of that size, were they warm.
-    pub(crate) fn cold_part(&self, size: f64) -> f64 {
+    pub(crate) fn cold_part(&self, size: f64, part: f64) -> f64 {
         let (window, relays) = (self.settings.fall as f64 / self.settings.cold as f64, self.settings.relays);
-        size * CORE_HOLDS * COLD_PART * self.settings.fall_multiple * window / f64::from(relays)
+        size * CORE_HOLDS * part * self.settings.fall_multiple * window / f64::from(relays)
     }
 
     /// Guards against backends that fail by turns, and look empty: failures fade slowly, and by parts.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -17,6 +17,9 @@
 /// Entries stay until a size has moved by this factor: late weights swing by less; no unit.
 const SIZE_SLACK: f64 = 1.1;
 
+/// Part of the cold budget where it is saved: what one window left and what the next brings may come in one.
+const BUCKET_PART: f64 = 0.5;
+
 /// What is known of one backend.
 pub(crate) struct Backend {
     pub member: Member,
@@ -53,6 +56,8 @@
     pub withheld_at: Micros,
     /// Staff gave it back, and nothing was sent there since.
     pub recalled: bool,
+    /// The process that runs there now was started as planned: after a drain, by staff, or on a new machine.
+    pub planned: bool,
     /// The quickest set-up there: what is left of a set-up without waiting.
     pub least_set_up: Micros,
     /// When the list withdrew it; in the far future while ready.
@@ -88,6 +93,7 @@
             withheld: false,
             withheld_at: 0,
             recalled: false,
+            planned: false,
             least_set_up: Micros::MAX,
             withdrawn_at: Micros::MAX,
             lost: false,
@@ -113,6 +119,7 @@
     /// A process that started then: nothing of its cold budget is saved yet.
     pub fn start(&mut self, started: Micros, now: Micros) {
         (self.started, self.tokens, self.tokens_at, self.lost) = (started, 0.0, now, false);
+        self.planned = false;
     }
 
     /// A new process: old evidence is void.
@@ -422,7 +429,7 @@
     /// no fresh report tells.
     pub(crate) fn expected(&self, i: usize, now: Micros, age: Micros, since: bool) -> Option<f64> {
         let backend = &self.backends[i];
-        let added = (self.load(&backend.ours) - backend.reported) / self.capacity(i);
+        let added = (self.load(&backend.ours) - backend.reported) / self.able(i, now);
         Some(backend.report(now, age)?? + if since { added } else { 0.0 })
     }
 
@@ -488,6 +495,17 @@
         self.weight(i) * 1e6
     }
 
+    /// Work that it can surely do now, while it warms up.
+    pub(crate) fn able(&self, i: usize, now: Micros) -> f64 {
+        self.capacity(i) * self.cold_share(i, now).unwrap_or(1.0)
+    }
+
+    /// Our part of what a backend can take in a window that was started as planned, at that share of its capacity, by
+    /// its size. Nothing for others: one that comes back from a crash may not be what it was.
+    pub(crate) fn guide(&self, i: usize, share: f64) -> f64 {
+        if self.backends[i].planned { self.cold_part(self.weight(i), BUCKET_PART) * share } else { 0.0 }
+    }
+
     /// Load of a connection, as far as known.
     pub(crate) fn work_load(&self, work: &Work) -> f64 {
         let load = work.load.or(work.before);
@@ -560,6 +578,7 @@
             self.backends.push(Backend { withheld, withheld_at: now, ..Backend::new(member, now) });
         }
         let backend = &mut self.backends[i];
+        let planned = i == next || backend.closed();
         backend.member = member.clone();
         match member.state {
             MemberState::Ready => backend.drained = false,
@@ -569,6 +588,7 @@
         }
         if member.started > backend.started {
             backend.renew(member.started, now);
+            backend.planned = planned;
         }
         i
     }
@@ -594,8 +614,8 @@
         }
         let told = Some(self.backends[i].started).filter(|&at| at > self.backends[i].withheld_at);
         self.backends[i].renew(told.unwrap_or(now), now);
-        let part = self.cold_part(self.weight(i)) * self.cold_share(i, now).unwrap_or(1.0);
-        (self.backends[i].tokens, self.backends[i].recalled) = (part.min(1.0), true);
+        (self.backends[i].planned, self.backends[i].recalled) = (true, true);
+        self.backends[i].tokens = self.guide(i, self.cold_share(i, now).unwrap_or(1.0)).min(1.0);
     }
 
     /// Whether a list ever named that backend, or staff withhold it.
