A connection that always has something to pass on gives way to all others

Seen: 1,200 calls at the second address with 40 slow callers and two flooding submitters: worst 7.1, 7.8 and 18.8 s, connected at once each time. Ruled out: the queue and the lobby (connects took 5 ms at most). Lines at fault: TcpStream:: ready in host/src/net.rs, whose readiness never takes of the scheduler's budget, so that relay::run kept the thread. Test: a_submitter_that_floods_delays_nobody; fails by time-out without the line.

--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -73,6 +73,8 @@
                     (false, true) => tokio::io::Interest::WRITABLE,
                     (false, false) => return std::future::pending().await,
                 };
+                // Guards against a peer that always has something: readiness alone never gives way to other tasks.
+                tokio::task::coop::consume_budget().await;
                 drop(stream.ready(wanted).await);
             }
             Stream::Made(wire) => {
--- a/crates/pierloom/tests/proxy.rs
+++ b/crates/pierloom/tests/proxy.rs
@@ -535,3 +535,26 @@
     std::fs::write(&path, include_str!("../../../deploy/pierloom.toml")).unwrap();
     assert_eq!(check().status.code(), Some(0));
 }
+
+/// Guards against a connection that is never without something to pass on, and keeps the thread from all others.
+#[test]
+fn a_submitter_that_floods_delays_nobody() {
+    let node = Node::new("n");
+    let proxy = Proxy::start("flood", &[&node]);
+    let (floods, at_node) = proxy.connect("f", &node);
+    std::thread::spawn(move || {
+        let (mut at_node, mut part) = (at_node.stream().try_clone().unwrap(), vec![0; 1 << 18]);
+        while std::io::Read::read(&mut at_node, &mut part).is_ok_and(|read| read > 0) {}
+    });
+    std::thread::spawn(move || {
+        let block = b"a message\r\n".repeat(20_000);
+        while std::io::Write::write_all(&mut floods.stream(), &block).is_ok() {}
+    });
+    for n in 0..100 {
+        let since = Instant::now();
+        let mut other = proxy.submitter();
+        other.send("PING\r\n");
+        assert_eq!(other.line(), "PONG\r\n");
+        assert!(since.elapsed() < SECOND, "{n}: {:?}", since.elapsed());
+    }
+}
