--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -56,7 +56,7 @@
     pub withheld_at: Micros,
     /// Staff gave it back, and nothing was sent there since.
     pub recalled: bool,
-    /// The process that runs there now was started as planned: after a drain, by staff, or on a new machine.
+    /// The process that runs there now was given back by staff.
     pub planned: bool,
     /// The quickest set-up there: what is left of a set-up without waiting.
     pub least_set_up: Micros,
@@ -578,7 +578,6 @@
             self.backends.push(Backend { withheld, withheld_at: now, ..Backend::new(member, now) });
         }
         let backend = &mut self.backends[i];
-        let planned = i == next || backend.closed();
         backend.member = member.clone();
         match member.state {
             MemberState::Ready => backend.drained = false,
@@ -588,7 +587,6 @@
         }
         if member.started > backend.started {
             backend.renew(member.started, now);
-            backend.planned = planned;
         }
         i
     }
