--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -484,7 +484,7 @@
         if self.settings.load_report.is_some() {
             let usable = entries.iter().copied().filter(|&i| room_at(i, false) <= now);
             let full = |i: usize, load: f64| {
-                let with_it = load + self.work_load(work) / self.able(i, now);
+                let with_it = load + self.work_load(work) / self.capacity(i);
                 load >= 1.0 || informed && (with_it >= MOST_GOAL || self.backends[i].slow_until > now)
             };
             let rank = |&i: &usize| match self.expected(i, now, PACE, informed) {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -429,7 +429,7 @@
     /// no fresh report tells.
     pub(crate) fn expected(&self, i: usize, now: Micros, age: Micros, since: bool) -> Option<f64> {
         let backend = &self.backends[i];
-        let added = (self.load(&backend.ours) - backend.reported) / self.able(i, now);
+        let added = (self.load(&backend.ours) - backend.reported) / self.capacity(i);
         Some(backend.report(now, age)?? + if since { added } else { 0.0 })
     }
 
@@ -495,11 +495,6 @@
         self.weight(i) * 1e6
     }
 
-    /// Work that it can surely do now, while it warms up.
-    pub(crate) fn able(&self, i: usize, now: Micros) -> f64 {
-        self.capacity(i) * self.cold_share(i, now).unwrap_or(1.0)
-    }
-
     /// Our part of what a backend can take in a window that was started as planned, at that share of its capacity, by
     /// its size. Nothing for others: one that comes back from a crash may not be what it was.
     pub(crate) fn guide(&self, i: usize, share: f64) -> f64 {
