Relays draw different lots for equal request numbers; room counts to the bound that full has

Lines: lot and part_of_room in spread.rs. No gain in service is claimed. Tests: a_lot_is_even_and_holds_for_a_second_at_one_relay, many_relays_place_where_reports_do_not_tell_of_delay.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -43,7 +43,7 @@
 const DRAIN: f64 = 1_500_000.0;
 /// It sheds down to no less and no more than these parts of its capacity; no unit.
 const LEAST_GOAL: f64 = 0.3;
-pub(crate) const MOST_GOAL: f64 = 0.85;
+const MOST_GOAL: f64 = 0.85;
 /// And not again before reports show what came of it; microseconds.
 const SETTLE: Micros = 1_500_000;
 /// Under strain a long delay multiplies moves by this at most: the moved find little room; no unit.
@@ -484,20 +484,23 @@
                 let with_it = load + self.work_load(work) / self.able(i, now);
                 load >= 1.0 || informed && (with_it >= MOST_GOAL || self.backends[i].slow_until > now)
             };
-            let rank = |&i: &usize| match self.expected(i, now, PACE, informed) {
-                Some(load) if full(i, load) => 3,
+            let load = |i: &usize| self.expected(*i, now, PACE, informed);
+            let rank = |i: &usize| match load(i) {
+                Some(load) if full(*i, load) => 3,
                 Some(load) if load >= ROOMY => 2,
-                _ => u32::from(self.many() && self.far(i)),
+                _ => u32::from(self.many() && self.far(*i)),
             };
-            let usable = entries.iter().copied().filter(|&i| room_at(i, false) <= now);
-            let mut usable: Vec<usize> = usable.collect();
+            let mut usable = entries.clone();
+            usable.retain(|&i| room_at(i, false) <= now);
             usable.sort_by_key(rank);
             let Some(best) = usable.first().copied().or_else(any) else { return Err(soonest()) };
-            let open = usable.partition_point(|i| rank(i) < 3);
-            // Exception "spread": guards against a herd on one report. Who gets no part of the room waits.
-            let many = self.many() && open > 0;
-            let part = if many { self.part_of_room(now, work, &usable, open, informed) } else { Some(best) };
-            return part.filter(|i| rank(i) < 3).ok_or(now + PACE);
+            let open = &usable[..usable.partition_point(|i| rank(i) < 3)];
+            // Exception "spread": guards against a herd on one report. Who draws no part of the room waits.
+            let goal = if informed { MOST_GOAL } else { 1.0 };
+            let room = |i: &usize| load(i).map(|load| (goal - load).max(0.0) * self.weight(*i));
+            let drawn = self.many().then(|| self.draw_room(now, work.request.id, &usable, open, room));
+            let best = Some(best).filter(|best| rank(best) < 3);
+            return drawn.flatten().unwrap_or(best).ok_or(now + PACE);
         }
         let sound = entries.iter().copied().skip(skipped).find(|&i| room_at(i, false) <= now);
         sound.or_else(any).ok_or_else(soonest)
--- a/crates/decision/src/spread.rs
+++ b/crates/decision/src/spread.rs
@@ -1,9 +1,8 @@
 //! What one of many relays may take of room that all of them see: the part of a cold backend's budget, and of the
-//! room that reports promise. Bounds and weighs; which backend it is, `logic` decides.
+//! room that reports promise. Bounds and weighs for `logic`, which decides.
 
 use crate::api::Micros;
-use crate::logic::{Balancer, MOST_GOAL, PACE};
-use crate::state::Work;
+use crate::logic::{Balancer, PACE};
 
 /// Connections that fill a core where the fewest do, by the operators' brief: the guide to what is cold.
 const CORE_HOLDS: f64 = 11.0;
@@ -30,9 +29,11 @@
     room * cores * CORE_HOLDS / (loads * arrivals * BLIND as f64 / 1e6).max(f64::MIN_POSITIVE)
 }
 
-/// A number from 0 to 1 by the request and the second: asking again at once draws no other.
-fn lot(id: u64, now: Micros) -> f64 {
-    fastrand::Rng::with_seed(id.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ (now / PACE)).f64()
+/// A number from 0 to 1 by the relay, the request and the second: asking again at once draws no other, and relays that
+/// number their requests alike do not draw alike.
+fn lot(relay: u64, id: u64, now: Micros) -> f64 {
+    let mut of_relay = fastrand::Rng::with_seed(relay);
+    fastrand::Rng::with_seed(of_relay.u64(..) ^ id.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ (now / PACE)).f64()
 }
 
 impl Balancer {
@@ -42,42 +43,31 @@
         size * CORE_HOLDS * part * self.settings.fall_multiple * window / f64::from(relays)
     }
 
-    /// The backend that a request gets of those that are usable, in order of preference, of which the first `open`
-    /// have room; `None` where others take that room. While there is room for all who arrive, it is the first one;
-    /// else one by chance, as its room is of all room. One of unknown load is to be asked first.
-    pub(crate) fn part_of_room(
+    /// Draws one of the open backends by its room, in cores, with the chance that there is room for all who arrive;
+    /// none of them where others take it. `None` where nothing is to be drawn: there is room for all, or the first
+    /// one is still to be asked how full it is. `among` are the backends from which the fleet's room is told.
+    pub(crate) fn draw_room(
         &self,
         now: Micros,
-        work: &Work,
-        usable: &[usize],
-        open: usize,
-        informed: bool,
-    ) -> Option<usize> {
-        let (&first, open) = (usable.first()?, &usable[..open]);
-        let free = |&i: &usize| {
-            let load = self.expected(i, now, PACE, informed).unwrap_or(MOST_GOAL);
-            (MOST_GOAL - load).max(0.0) * self.weight(i)
-        };
-        if self.expected(first, now, PACE, informed).is_none() {
-            return Some(first);
-        }
-        let (all, size) =
-            (open.iter().map(free).sum::<f64>(), usable.iter().map(|&i| self.weight(i)).sum::<f64>());
+        id: u64,
+        among: &[usize],
+        open: &[usize],
+        room: impl Fn(&usize) -> Option<f64>,
+    ) -> Option<Option<usize>> {
+        room(open.first()?)?;
+        let rooms: Vec<f64> = open.iter().map(|i| room(i).unwrap_or(0.0)).collect();
+        let (all, size) = (rooms.iter().sum::<f64>(), among.iter().map(|&i| self.weight(i)).sum::<f64>());
         let cores: f64 = self.ready().map(|i| self.weight(i)).sum();
         let seen = self.accepted.iter().rev().take_while(|&&at| at + SEEN > now).count().saturating_sub(1);
         // A group costs a backend one mean load more, whatever comes of it.
         let loads = if self.settings.groups { 2.0 } else { 1.0 };
-        let arrivals = arrivals(seen, cores, f64::from(self.settings.relays));
-        let part = part(all / size, loads, cores, arrivals);
-        let mut lot = lot(work.request.id, now) / part;
-        if part >= 1.0 || lot >= 1.0 {
-            return Some(first).filter(|_| part >= 1.0);
-        }
-        lot *= all;
-        open.iter().copied().find(|i| {
-            lot -= free(i);
-            lot < 0.0
-        })
+        let part = part(all / size, loads, cores, arrivals(seen, cores, f64::from(self.settings.relays)));
+        let mut at = lot(self.seed, id, now) / part * all;
+        let mut takes = |room: &f64| {
+            at -= room;
+            at < 0.0
+        };
+        (part < 1.0).then(|| rooms.iter().position(&mut takes).map(|n| open[n]))
     }
 }
 
@@ -104,10 +94,14 @@
     }
 
     #[test]
-    fn a_lot_is_even_and_holds_for_a_second() {
-        let mean = (0..1_000).map(|id| lot(id, 7 * PACE)).sum::<f64>() / 1_000.0;
-        assert!((mean - 0.5).abs() < 0.03, "{mean}");
-        assert_eq!(lot(5, 7 * PACE), lot(5, 7 * PACE + 999_999));
-        assert_ne!(lot(5, 7 * PACE), lot(5, 8 * PACE));
+    fn a_lot_is_even_and_holds_for_a_second_at_one_relay() {
+        for mean in [
+            (0..1_000).map(|id| lot(1, id, 7 * PACE)).sum::<f64>() / 1_000.0,
+            (0..1_000).map(|relay| lot(relay, 3, 7 * PACE)).sum::<f64>() / 1_000.0,
+        ] {
+            assert!((mean - 0.5).abs() < 0.03, "{mean}");
+        }
+        assert_eq!(lot(1, 5, 7 * PACE), lot(1, 5, 7 * PACE + 999_999));
+        assert_ne!(lot(1, 5, 7 * PACE), lot(1, 5, 8 * PACE));
     }
 }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -325,6 +325,8 @@
     /// Bound on further attempts.
     pub(crate) budget: Budget,
     pub(crate) rng: fastrand::Rng,
+    /// What its chance comes from: another one at each relay.
+    pub(crate) seed: u64,
     pub(crate) started: Option<Micros>,
     pub(crate) backends: Vec<Backend>,
     pub(crate) index: BTreeMap<BackendId, usize>,
@@ -751,6 +753,7 @@
             admission: Admission::new(0),
             settings,
             rng: fastrand::Rng::with_seed(seed),
+            seed,
             started: None,
             backends: Vec::new(),
             index: BTreeMap::new(),
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -263,3 +263,19 @@
         assert_eq!(placed(d, k, k * 977, &busy).len(), 1, "request {k}");
     }
 }
+
+/// Guards against requests kept waiting for room that is there: while notes tell of delays, a backend that says 0.9 is
+/// not full, and its room is not read as none.
+#[test]
+fn many_relays_place_where_reports_do_not_tell_of_delay() {
+    let mut relays = fleet(40);
+    let busy: Reports = members(40).into_iter().map(|m| (m.backend, [0.9, 9.0])).collect();
+    let mut all = 0;
+    for d in &mut relays {
+        assert_eq!(placed(d, 1, 7, &Reports::new()).len(), 1);
+        d.event(Event::Noted(1, Note::Delay(MS)));
+        d.now += S;
+        all += placed(d, 2, 977, &busy).len();
+    }
+    assert_eq!(all, RELAYS);
+}
