--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -624,9 +624,9 @@
         }
     }
 
-    /// Whether relays are so many that what one saw says little, and reports tell.
+    /// Whether relays are so many that what one saw says little.
     fn many(&self) -> bool {
-        self.settings.relays > MANY && self.settings.load_report.is_some()
+        self.settings.relays > MANY
     }
 
     /// Whether probes tell how full backends are and how long messages take there.
