--- a/crates/decision/src/spread.rs
+++ b/crates/decision/src/spread.rs
@@ -56,15 +56,23 @@
 }
 
 impl Balancer {
-    /// Connections that fill a core, by the loads that we were told of.
-    fn core_holds(&self) -> f64 {
-        core_holds(f64::from(self.total.open - self.total.unknown), self.total.known)
+    /// Connections that fill a backend of size one: by the loads that we were told of, a core of them. Where weights
+    /// state no sizes, a backend holds what one of them carries now at least, if all relays hold what we do.
+    fn unit_holds(&self) -> f64 {
+        let core = core_holds(f64::from(self.total.open - self.total.unknown), self.total.known);
+        // Those that stand: attempts that are out say what is wanted, not what is carried.
+        let ours: usize = self.known.iter().map(|&i| self.backends[i].standing.len()).sum();
+        let carried = f64::from(self.settings.relays) * ours as f64;
+        match self.settings.sized_weights {
+            true => core,
+            false => core.max(carried / self.admission.capacity.max(1.0)),
+        }
     }
 
     /// Our part of the connections that all may open in a window at backends of that size, were they warm.
     pub(crate) fn cold_part(&self, size: f64, part: f64) -> f64 {
         let (window, relays) = (self.settings.fall as f64 / self.settings.cold as f64, self.settings.relays);
-        size * self.core_holds() * part * self.settings.fall_multiple * window / f64::from(relays)
+        size * self.unit_holds() * part * self.settings.fall_multiple * window / f64::from(relays)
     }
 
     /// Of few relays: our part of a cold budget, saved up to now. A backend can do what it took
@@ -95,7 +103,7 @@
         room(open.first()?)?;
         let rooms: Vec<f64> = open.iter().map(|i| room(i).unwrap_or(0.0)).collect();
         let (all, size) = (rooms.iter().sum::<f64>(), among.iter().map(|&i| self.weight(i)).sum::<f64>());
-        let holds = self.ready().map(|i| self.weight(i)).sum::<f64>() * self.core_holds();
+        let holds = self.ready().map(|i| self.weight(i)).sum::<f64>() * self.unit_holds();
         let age = now.saturating_sub(self.started.unwrap_or(now)) as f64 / 1e6;
         let life = life(f64::from(self.total.open), self.set_ups as f64, age);
         let seen = self.accepted.iter().rev().take_while(|&&at| at + SEEN > now).count().saturating_sub(1);
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -149,6 +149,104 @@
     }
 }
 
+/// What came to the cold backends of a fleet of so many relays in a storm from their start on, in requests: openings,
+/// and probes at what they cost beside one. Backends are two cores each, which fourteen a core fill; loads are told.
+fn storm_at_cold(settings: Settings, seed: u64, cold: &[usize]) -> BTreeMap<BackendId, Vec<(Micros, f64)>> {
+    const PROBE: f64 = 0.06;
+    let sized = |started| move |m: Member| Member { weight: 2.0, started, ..m };
+    let relays = u64::from(settings.relays);
+    let relay = |n| {
+        let mut d =
+            Driver { balancer: Balancer::new(settings.clone(), seed * 1_000 + n).unwrap(), now: 100 * S };
+        d.list(ListKind::Full, members(8).into_iter().map(sized(0)).collect());
+        d
+    };
+    let mut fleet: Vec<Driver> = (0..relays).map(relay).collect();
+    let names: Vec<BackendId> = cold.iter().map(|&i| members(8)[i].backend.clone()).collect();
+    let mut came: BTreeMap<BackendId, Vec<(Micros, f64)>> = BTreeMap::new();
+    // 20 s of the usual, five a second; then a storm of sixty a second, as half of the fleet's clients come again.
+    let times = (0..100).map(|k| 120 * S + k * 200 * MS).chain((0..540).map(|k| 140 * S + k * 9 * S / 540));
+    let mut told = false;
+    for (k, at) in times.enumerate() {
+        if at >= 140 * S && !std::mem::replace(&mut told, true) {
+            for d in &mut fleet {
+                d.now = 140 * S;
+                d.list(
+                    ListKind::Delta,
+                    cold.iter().map(|&i| sized(140 * S)(members(8)[i].clone())).collect(),
+                );
+            }
+        }
+        let (k, d) = (k as u64, &mut fleet[(k * 37 + k / 16) % relays as usize]);
+        d.now = at;
+        let mut out = d.request_with(Request {
+            id: k + 1,
+            key: Some(k),
+            deadline: at + 4_800 * MS,
+            ..Request::default()
+        });
+        while !out.is_empty() {
+            for action in std::mem::take(&mut out) {
+                match action {
+                    Action::Probe(backend) => {
+                        came.entry(backend.clone()).or_default().push((at, PROBE));
+                        out.extend(d.event(Event::Probed {
+                            backend,
+                            status: Status::Ok,
+                            report: vec![0.4, 8.0],
+                        }));
+                    }
+                    Action::Send { id, backend, .. } => {
+                        came.entry(backend).or_default().push((at, 1.0));
+                        d.established(id, 0, 20 * MS);
+                        out.extend(d.event(Event::Noted(id, Note::Load(1e6 / 14.0))));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    came.retain(|backend, times| {
+        times.retain(|&(at, _)| at >= 140 * S);
+        names.contains(backend)
+    });
+    came
+}
+
+/// Guards against a cold backend that falls over under the sum of all, with a handful of relays as with hundreds, where
+/// backends report their load and where they do not: beyond its budget of N in any window, two roots of N and two more
+/// may be put down to chance.
+#[test]
+fn the_sum_of_all_relays_keeps_to_the_ramp_of_a_cold_backend() {
+    for (relays, reports) in [3, 20, 30, 300].into_iter().flat_map(|n| [(n, true), (n, false)]) {
+        let column = |i| reports.then_some(i);
+        let base = Settings {
+            relays,
+            may_probe: reports,
+            load_report: column(0),
+            delay_report: column(1),
+            ..many()
+        };
+        let (mut opened, mut most) = (0.0, f64::MIN);
+        for seed in 0..20 {
+            for times in storm_at_cold(base.clone(), seed, &[1, 4, 6]).into_values() {
+                opened += times.iter().map(|(_, work)| work).sum::<f64>();
+                for &(from, _) in &times {
+                    let within = |at: Micros| at >= from && at - from < 1_500 * MS;
+                    let sent: f64 = times.iter().filter(|(at, _)| within(*at)).map(|(_, work)| work).sum();
+                    // What fills it in a warm-up, times the multiple, for the window, at the share that it has then.
+                    let share = 0.3 + 0.7 * (from - 140 * S) as f64 / (9 * S) as f64;
+                    let budget = 2.0 * 14.0 / 9.0 * 4.0 * 1.5 * share;
+                    most = most.max(sent - budget - 2.0 * budget.sqrt() - 2.0);
+                }
+            }
+        }
+        assert!(most <= 0.0, "{relays} relays, reports {reports}: {most} over");
+        // A ramp that is kept by sending nothing would leave them idle beside full ones.
+        assert!(opened / 60.0 > 8.0, "{relays} relays, reports {reports}: {opened} in 60 warm-ups");
+    }
+}
+
 /// Guards against relays that go by an old list for long after a restart: a change counts as told six seconds
 /// after it was made, and a call may wait three of them for its turn.
 #[test]
@@ -163,8 +261,8 @@
         })
     };
     let gaps: Vec<Micros> = (0..300).map(|seed| first(seed).unwrap()).collect();
-    assert!(gaps.iter().all(|&gap| gap <= 2_500 * MS), "{:?}", gaps.iter().max());
-    let most = (0..25).map(|k| gaps.iter().filter(|&&gap| gap / (100 * MS) == k).count()).max();
+    assert!(gaps.iter().all(|&gap| gap <= 2 * S), "{:?}", gaps.iter().max());
+    let most = (0..20).map(|k| gaps.iter().filter(|&&gap| gap / (100 * MS) == k).count()).max();
     assert!(most.is_some_and(|most| most <= 25), "{most:?} of 300 ask within a tenth of a second");
 }
 
