--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -26,6 +26,8 @@
 const CONNECT: Micros = 1_000_000;
 /// Pause after a call that failed to an agent of this proxy's own, which no other calls; microseconds.
 const PUSHED_PAUSE: Micros = 100_000;
+/// No machine is larger than so many of the smallest.
+const MOST_WEIGHT: f64 = 1e6;
 /// Largest list that is read: thousands of machines; bytes.
 const MOST: usize = 4 << 20;
 
@@ -73,8 +75,9 @@
             },
             zone: names.zone(&self.zone),
             cell: self.group,
-            weight: self.weight.unwrap_or(1.0),
-            started: self.since_ms * 1_000,
+            // Sums of weights stay finite whatever is told.
+            weight: self.weight.unwrap_or(1.0).min(MOST_WEIGHT),
+            started: self.since_ms.saturating_mul(1_000),
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -185,8 +185,11 @@
     (number.unwrap_or(USUAL_RELAYS), number.is_none().then(doubt))
 }
 
+/// Times longer than thirty years are as good as for ever; seconds. Sums of them have to stay in range.
+const FOR_EVER: f64 = 1e9;
+
 fn micros(seconds: f64) -> Micros {
-    (seconds.max(0.0) * 1e6).round() as Micros
+    (seconds.clamp(0.0, FOR_EVER) * 1e6).round() as Micros
 }
 
 /// A key with the value null counts as absent.
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -222,3 +222,12 @@
     assert_eq!((settings.relays, names.doubts.len()), (1_000, 1));
     assert!(names.doubts[0].contains("balancers is not stated"), "{}", names.doubts[0]);
 }
+
+// Guards against sums of times that leave their range.
+#[test]
+fn times_beyond_thirty_years_count_as_that() {
+    let classes = r#""classes":[{"name":"a","target":1e300,"deadline":1e300,"window":1e308}]"#;
+    let (settings, _) = pierloom_wire::settings(&format!("{{\"balancers\":3,{classes}}}")).unwrap();
+    let class = &settings.classes[0];
+    assert_eq!([class.aim, class.deadline, class.window], [1_000_000_000_000_000; 3]);
+}
