--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -122,6 +122,14 @@
         }
     }
 
+    /// Sends each write at once; a machine of another kind always does.
+    pub fn set_nodelay(&self) -> io::Result<()> {
+        match &self.0 {
+            Stream::Os(stream) => stream.set_nodelay(true),
+            Stream::Made(_) => Ok(()),
+        }
+    }
+
     /// Ends the sending: the other side reads an end after all that was written.
     pub fn finish(&self) -> io::Result<()> {
         match &self.0 {
@@ -211,12 +219,7 @@
     /// The next connection and where it came from. Nothing is lost when this is dropped before its end.
     pub async fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
         match &self.0 {
-            Listener::Os(listener, _) => {
-                let (stream, from) = listener.accept().await?;
-                // As on those that are dialled. It fails on one that is broken already, which the next read tells.
-                let _ = stream.set_nodelay(true);
-                Ok((stream.into(), from))
-            }
+            Listener::Os(listener, _) => listener.accept().await.map(|(stream, from)| (stream.into(), from)),
             Listener::Made(listening) => poll_fn(|context| listening.poll_accept(context)).await,
         }
     }
@@ -237,6 +240,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/host/src/os.rs
+++ b/crates/host/src/os.rs
@@ -37,12 +37,7 @@
     }
 
     fn connect(&self, to: SocketAddr) -> Local<'static, io::Result<TcpStream>> {
-        Box::pin(async move {
-            let stream = tokio::net::TcpStream::connect(to).await?;
-            // Small writes that the system holds back would go down with a reset.
-            stream.set_nodelay(true)?;
-            Ok(TcpStream::from(stream))
-        })
+        Box::pin(async move { tokio::net::TcpStream::connect(to).await.map(TcpStream::from) })
     }
 
     fn listen(&self, at: SocketAddr, backlog: i32, beside: bool) -> io::Result<TcpListener> {
--- a/crates/proxy/src/claim.rs
+++ b/crates/proxy/src/claim.rs
@@ -89,6 +89,7 @@
     };
     let mut reach = Reach::Unwritten;
     let answer = async {
+        stream.set_nodelay().map_err(|_| Cause::Broke)?;
         let opening = opening().ok_or(Cause::Barred)?;
         write_all(&stream, &opening).await.map_err(|_| Cause::Broke)?;
         reach = Reach::Written;
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -162,6 +162,7 @@
 
 /// Says that there is no room, without waiting.
 fn refuse(stream: &TcpStream, front: &dyn Front) {
+    let _ = stream.set_nodelay();
     // A fresh connection has room for a line; one that is broken needs none.
     let _ = stream.try_write(&front.refusal(Some(NO_ROOM)));
     let _ = stream.finish();
@@ -189,6 +190,7 @@
         stream: TcpStream,
         place: Place,
     ) -> Option<(TcpStream, Box<dyn Opening>)> {
+        stream.set_nodelay().ok()?;
         let heard = tokio::select! {
             biased;
             heard = hear(&**front, &stream) => heard,
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -134,6 +134,7 @@
         stream = core.host.connect(discovery) => stream.map_err(|e| e.to_string())?,
         () = core.deadlines.until(core.now() + CONNECT) => return Err("no connection".to_string()),
     };
+    stream.set_nodelay().map_err(|e| e.to_string())?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
     core.host.spawn(async move {
         // How it ended shows at the call that used it.
