Tests of the stop's answers and of the check before the first byte, clause by clause

Taking guards out one by one showed three tests that were not sharp: the stop's answers also came about without Event::Stopping at the very end, a close over unread words was not provoked (the words fitted in one read), and the check before the first byte was only seen through a drain. The module's part has its own tests now, and the words at the stop are longer than a read.

--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -200,3 +200,75 @@
     assert!(d.event(Event::Noted(1, Note::Silent(S))).is_empty());
     assert_eq!(d.event(Event::Noted(1, Note::Silent(4 * S))), [Action::Move(1)]);
 }
+
+// Guards against a refusal, which says that nothing ran, given in haste when the process stops: what comes is
+// answered at once, and what is out is answered when it ends, by whether it may have run.
+#[test]
+fn a_stop_answers_all_who_wait_and_begins_nothing_more() {
+    let refused = |out: &[Action]| matches!(out, [Action::Refuse { .. }]);
+    for (effect, ran) in [
+        (Effect::Repeatable, true),
+        (Effect::Keyed(Group::All), true),
+        (Effect::Keyed(Group::Cell), false),
+        (Effect::Once, false),
+    ] {
+        let mut settings = settings();
+        settings.classes[0].effect = effect;
+        settings.classes[0].window = 5 * S;
+        let mut d = Driver::new(settings, 3);
+        for id in 1..=2 {
+            assert!(sent(&d.request(id)).is_some());
+        }
+        d.event(Event::Stopping);
+        assert!(refused(&d.request(4)), "{effect:?}: one that comes");
+        assert!(refused(&d.ended(1, 0, Status::ConnectFailed, false)), "{effect:?}: one that never ran");
+        let out = d.ended(2, 0, Status::Reset, false);
+        assert!(
+            if ran { refused(&out) } else { out == [Action::Fail(2)] },
+            "{effect:?}: one that may have run: {out:?}"
+        );
+    }
+}
+
+// Guards against a request that waits for its event past the end of its process.
+#[test]
+fn a_stop_answers_who_is_held() {
+    let settings = Settings { may_probe: true, load_report: Some(0), ..settings() };
+    let mut d = Driver::new(settings, 1);
+    let out = d.request(1);
+    assert!(out.iter().any(|action| matches!(action, Action::Probe(_))), "it waits for a report: {out:?}");
+    assert!(d.event(Event::Stopping).iter().any(|action| matches!(action, Action::Refuse { id: 1, .. })));
+}
+
+// Guards against an attempt that is written though, while it connected, its backend began to drain or was withheld, its
+// time ran out, its window for repeats closed, or its client left.
+#[test]
+fn an_attempt_may_be_written_only_while_all_that_it_was_chosen_by_holds() {
+    let mut settings = settings();
+    settings.classes[0].effect = Effect::Keyed(Group::All);
+    settings.classes[0].window = 900 * MS;
+    let out = |what: &str, change: &dyn Fn(&mut Driver, BackendId)| {
+        let mut d = Driver::new(settings.clone(), 2);
+        let backend = sent(&d.request(1)).unwrap();
+        assert!(d.balancer.may_begin(d.now, 1), "{what}: at once");
+        change(&mut d, backend);
+        d.balancer.may_begin(d.now, 1)
+    };
+    let member = |backend: &BackendId, state| vec![Member { state, ..Member::ready(backend) }];
+    assert!(out("nothing", &|d, _| d.now += 100 * MS));
+    assert!(!out("draining", &|d, at| drop(d.list(ListKind::Delta, member(&at, MemberState::Draining)))));
+    assert!(!out("gone", &|d, at| drop(d.list(ListKind::Delta, member(&at, MemberState::Gone)))));
+    assert!(!out("withheld", &|d, at| drop(d.event(Event::Withheld(at, true)))));
+    assert!(!out("the client left", &|d, _| drop(d.event(Event::ClientGone(1)))));
+    assert!(!out("its time", &|d, _| d.now += 2 * S));
+    // The second attempt, the first of which may have run.
+    let second = |wait: Micros| {
+        move |d: &mut Driver, _| {
+            d.now += 800 * MS;
+            assert!(sent(&d.ended(1, 0, Status::Reset, false)).is_some());
+            d.now += wait;
+        }
+    };
+    assert!(out("within the window", &second(90 * MS)));
+    assert!(!out("past the window", &second(110 * MS)));
+}
--- a/crates/pierloom/tests/crossings.rs
+++ b/crates/pierloom/tests/crossings.rs
@@ -120,7 +120,8 @@
     }
     for (i, peer) in resting.iter_mut().enumerate() {
         assert_eq!(peer.line(), "BUSY 1000\r\n");
-        peer.send(&format!("OPEN 0a{i} k{i} c=feed,d=4800\r\n"));
+        // More than is read at once, so that the rest lies there at a close that comes too early.
+        peer.send(&format!("OPEN 0a{i} k{i} c=feed,d=4800\r\n{}", "m\r\n".repeat(20_000)));
         peer.end_sending();
         assert_eq!(peer.end(), (String::new(), false));
     }
