--- a/crates/pierloom/src/main.rs
+++ b/crates/pierloom/src/main.rs
@@ -1,5 +1,5 @@
 #![forbid(unsafe_code)]
-//! The real proxy: places submitters' connections on execute nodes as the decision module says.
+//! The real proxy: places clients' connections on execute nodes as the decision module says.
 
 mod logs;
 mod settings;
@@ -28,7 +28,7 @@
     Check(Check),
 }
 
-/// Serve submitters until SIGTERM, as LB_CONFIG and the variables beside it say.
+/// Serve clients until SIGTERM, as LB_CONFIG and the variables beside it say.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
--- a/crates/pierloom/tests/bad_input.rs
+++ b/crates/pierloom/tests/bad_input.rs
@@ -58,7 +58,7 @@
         let (odd, sound) = (Node::new("n0"), Node::new("n1"));
         let proxy = Proxy::start(&format!("nonsense{i}"), &[&odd, &sound]);
         for n in 0..8 {
-            let mut submitter = proxy.open(&format!("k{n}"));
+            let mut client = proxy.open(&format!("k{n}"));
             let said = world::until(|| {
                 if let Some((at_odd, _)) = odd.try_opened() {
                     // It may be cut off in the middle.
@@ -71,7 +71,7 @@
                 })
             });
             assert!(said.is_some(), "{answer:.20?}: request {n} is tried at the sound one");
-            assert_eq!(submitter.line(), "UP r1\r\n");
+            assert_eq!(client.line(), "UP r1\r\n");
         }
     }
 }
@@ -81,15 +81,15 @@
 fn a_second_answer_behind_the_first_is_passed_on() {
     let node = Node::new("n");
     let proxy = Proxy::start("second", &[&node]);
-    let mut submitter = proxy.open("k");
+    let mut client = proxy.open("k");
     let (mut at_node, _) = node.opened();
     at_node.send("UP r1\r\nUP r1\r\n");
-    assert_eq!((submitter.line(), submitter.line()), ("UP r1\r\n".to_string(), "UP r1\r\n".to_string()));
+    assert_eq!((client.line(), client.line()), ("UP r1\r\n".to_string(), "UP r1\r\n".to_string()));
     at_node.send("BUSY\r\n");
-    assert_eq!(submitter.line(), "BUSY\r\n");
+    assert_eq!(client.line(), "BUSY\r\n");
 }
 
-// Stated: submitters that send much and go, or say half a line and rest, cost a place among those not heard yet, for a
+// Stated: clients that send much and go, or say half a line and rest, cost a place among those not heard yet, for a
 // second and a half at most, and no memory.
 #[test]
 fn floods_of_words_from_submitters_that_go_harm_nobody() {
@@ -97,7 +97,7 @@
     let proxy = Proxy::start_limited("floods", 128, 128, &[node.entry("ready")]);
     let flood = vec![b'x'; 300_000];
     for _ in 0..60 {
-        let peer = proxy.submitter();
+        let peer = proxy.client();
         peer.stream().set_write_timeout(Some(Duration::from_millis(20))).unwrap();
         // Nobody has to take in all of it.
         let _ = std::io::Write::write_all(&mut peer.stream(), &flood);
@@ -133,7 +133,7 @@
     }
 }
 
-// Guards against a job that is sent on though its submitter left in the moment in which it came, or while it waited.
+// Guards against a job that is sent on though its client left in the moment in which it came, or while it waited.
 #[test]
 fn a_submitter_that_has_gone_is_not_served() {
     let node = Plugged::new("n");
@@ -143,7 +143,7 @@
     proxy.halt();
     drop(proxy.open("a"));
     proxy.go_on();
-    // One that waits for a probe, whose answer comes with the submitter's end.
+    // One that waits for a probe, whose answer comes with the client's end.
     let waiting = proxy.open("b");
     let mut probe = node.accept();
     assert_eq!(probe.line(), "STATS\r\n");
--- a/crates/pierloom/tests/console.rs
+++ b/crates/pierloom/tests/console.rs
@@ -101,10 +101,10 @@
     // Standing at the one that is taken out: moved away.
     let mut standing = Vec::new();
     for key in 0.. {
-        let submitter = proxy.open(&format!("5{key}"));
+        let client = proxy.open(&format!("5{key}"));
         let (at, mut peer) = opened(&nodes);
         peer.send("UP r\r\n");
-        standing.push((at, submitter, peer));
+        standing.push((at, client, peer));
         if at == 0 {
             break;
         }
--- a/crates/pierloom/tests/crossings.rs
+++ b/crates/pierloom/tests/crossings.rs
@@ -10,7 +10,7 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Settings under which a connection may come up late, and a submitter waits longer.
+/// Settings under which a connection may come up late, and a client waits longer.
 fn late() -> String {
     SETTINGS.replace("\"connect-timeout\":0.2", "\"connect-timeout\":9.0").replace("4.8", "30.0")
 }
@@ -21,9 +21,9 @@
     told.split(',').next().unwrap().parse().expect(line)
 }
 
-/// Opens a job whose submitter waits for half a minute.
+/// Opens a job whose client waits for half a minute.
 fn open(proxy: &Proxy, key: &str) -> Peer {
-    let mut peer = proxy.submitter();
+    let mut peer = proxy.client();
     peer.send(&format!("OPEN 0a{key} {key} c=feed,d=30000\r\n"));
     peer
 }
@@ -56,7 +56,7 @@
 #[test]
 fn a_connection_that_comes_up_as_its_submitter_leaves_carries_nothing() {
     let (proxy, mut node, _standing, _at_node, waiting) = connecting("late-leave");
-    // Both are there when it goes on: the submitter's end, and the connection that has come up.
+    // Both are there when it goes on: the client's end, and the connection that has come up.
     until(|| proxy.dials(node.entry("ready")).then_some(())).expect("an attempt");
     proxy.halt();
     drop(waiting);
@@ -90,18 +90,18 @@
             .replace("\"effect\":\"repeatable\",\"group\":\"all\"", &format!("\"effect\":\"{effect}\""));
         let node = Node::new("n");
         let mut proxy = Proxy::start_with("stop-once", 1024, &[node.entry("ready")], &settings);
-        let mut submitter = proxy.open("k");
+        let mut client = proxy.open("k");
         let (at_node, _) = node.opened();
         proxy.signal("-TERM");
         proxy.stopping();
         at_node.reset();
-        let answer = submitter.line();
+        let answer = client.line();
         assert!(answer.starts_with(answers), "{effect}: {answer:?}");
         assert!(proxy.exit().success());
     }
 }
 
-// Guards against a submitter that rests, and whose words come in the moment in which it is sent away: it is told, its
+// Guards against a client that rests, and whose words come in the moment in which it is sent away: it is told, its
 // words are neither sent on nor make the close a reset, and the process ends when all have been told.
 #[test]
 fn whoever_rests_at_a_planned_stop_is_told_and_its_last_words_harm_nothing() {
@@ -111,7 +111,7 @@
     proxy.signal("-TERM");
     // Taken in shortly before nothing more is begun, too late for the usual end of a hearing.
     std::thread::sleep(SECOND * 2);
-    let mut resting: Vec<Peer> = (0..20).map(|_| proxy.submitter()).collect();
+    let mut resting: Vec<Peer> = (0..20).map(|_| proxy.client()).collect();
     for (i, peer) in resting.iter_mut().enumerate() {
         if i % 2 == 0 {
             peer.send("PING\r\n");
@@ -132,11 +132,11 @@
 
 /// Answers a probe that is there, and with what stands behind it.
 fn probed(node: &Node, proxy: &Proxy, key: &str, answer: &str) -> (Peer, Peer) {
-    let submitter = proxy.open(key);
+    let client = proxy.open(key);
     let (mut probe, line) = node.opened();
     assert_eq!(line, "STATS\r\n");
     probe.send(answer);
-    (probe, submitter)
+    (probe, client)
 }
 
 // Guards against a probe connection on which an answer came twice: each later probe would read the one before.
@@ -147,10 +147,10 @@
     let full = "PONG x0=1.4,svc_ms=400\r\n";
     for (i, late) in [Some(full), Some("PO"), None].into_iter().enumerate() {
         let proxy = Proxy::start_with(&format!("twice{i}"), 1024, &[node.entry("ready")], &settings);
-        let (mut probe, mut submitter) = probed(&node, &proxy, "k", "PONG x0=0.4,svc_ms=11.5\r\n");
+        let (mut probe, mut client) = probed(&node, &proxy, "k", "PONG x0=0.4,svc_ms=11.5\r\n");
         let (mut at_node, _) = node.opened();
         at_node.send("UP r\r\n");
-        assert_eq!(submitter.line(), "UP r\r\n");
+        assert_eq!(client.line(), "UP r\r\n");
         match late {
             Some(late) => probe.send(late),
             None => probe.end_sending(),
@@ -175,7 +175,7 @@
         .collect();
     for (i, proxy) in proxies.iter().enumerate() {
         assert_eq!(proxy.list.calls.recv_timeout(LONG).unwrap().from, 1);
-        let (mut submitter, _at_node) = proxy.connect(&format!("k{i}"), &node);
+        let (mut client, _at_node) = proxy.connect(&format!("k{i}"), &node);
         let failed = Instant::now();
         proxy.list.fail(3);
         let calls: Vec<_> = (0..3).map(|_| proxy.list.calls.recv_timeout(LONG).unwrap()).collect();
@@ -183,7 +183,7 @@
         assert!(calls[2].at - failed > SECOND / 5, "no hammering");
         assert!(calls[2].at - failed < 2 * SECOND);
         proxy.list.tell(&node.entry("draining"));
-        assert_eq!(submitter.line(), "MOVE\r\n");
+        assert_eq!(client.line(), "MOVE\r\n");
     }
 }
 
@@ -205,15 +205,15 @@
     proxy.connect("k", &node);
 }
 
-// Guards against a list that is not followed any more because idle submitters hold what descriptors there are.
+// Guards against a list that is not followed any more because idle clients hold what descriptors there are.
 #[test]
 fn idle_submitters_do_not_keep_the_list_from_being_followed() {
     let node = Node::new("n");
     let proxy = Proxy::start_limited("idle-crowd", 128, 128, &[node.entry("ready")]);
     let (mut standing, _at_node) = proxy.connect("s", &node);
     proxy.list.fail(6);
-    let crowd: Vec<Peer> = (0..400).map(|_| proxy.submitter()).collect();
-    let mut pinging = proxy.submitter();
+    let crowd: Vec<Peer> = (0..400).map(|_| proxy.client()).collect();
+    let mut pinging = proxy.client();
     pinging.send("PING\r\n");
     assert_eq!(pinging.line(), "PONG\r\n");
     let (_submitter, _at) = proxy.connect("k", &node);
--- a/crates/pierloom/tests/proxy.rs
+++ b/crates/pierloom/tests/proxy.rs
@@ -1,4 +1,4 @@
-//! The real program as a process, among submitters, execute nodes and a machine list.
+//! The real program as a process, among clients, execute nodes and a machine list.
 
 #![allow(clippy::disallowed_types, clippy::disallowed_methods)] // peers of the real program, on real sockets
 
@@ -19,10 +19,10 @@
 fn a_job_is_served_and_its_lines_pass_unchanged() {
     let node = Node::new("n");
     let proxy = Proxy::start("served", &[&node]);
-    let mut submitter = proxy.submitter();
-    submitter.send("PING\r\n");
-    assert_eq!(submitter.line(), "PONG\r\n");
-    submitter.send("OPEN 9b1f 7f3a zz=1,c=feed,d=2000,g=5c0f,again=1,new=x\r\n");
+    let mut client = proxy.client();
+    client.send("PING\r\n");
+    assert_eq!(client.line(), "PONG\r\n");
+    client.send("OPEN 9b1f 7f3a zz=1,c=feed,d=2000,g=5c0f,again=1,new=x\r\n");
     let (mut at_node, line) = node.opened();
     // All but `d` is unchanged: it tells how long the proxy itself waits.
     let (before, rest) = line.split_once("d=").unwrap();
@@ -30,35 +30,35 @@
     assert_eq!((before, after), ("OPEN 9b1f 7f3a zz=1,c=feed,", "g=5c0f,again=1,new=x\r\n"));
     assert!((1..2000).contains(&wait.parse::<u32>().unwrap()), "{wait}");
     at_node.send("UP r1\r\nLOAD 20");
-    assert_eq!(submitter.line(), "UP r1\r\n");
+    assert_eq!(client.line(), "UP r1\r\n");
     // Half a line is passed on at once too, and what is no text.
-    assert_eq!(submitter.read(7), b"LOAD 20");
+    assert_eq!(client.read(7), b"LOAD 20");
     let long = "x".repeat(200_000);
     at_node.send(&format!("00.5\r\n{long}\u{1}\r\n"));
-    assert_eq!(submitter.line(), "00.5\r\n");
-    assert_eq!(submitter.line(), format!("{long}\u{1}\r\n"));
-    submitter.send(&format!("{long}\r\nm 2\r\n"));
+    assert_eq!(client.line(), "00.5\r\n");
+    assert_eq!(client.line(), format!("{long}\u{1}\r\n"));
+    client.send(&format!("{long}\r\nm 2\r\n"));
     assert_eq!(at_node.line(), format!("{long}\r\n"));
     assert_eq!(at_node.line(), "m 2\r\n");
     at_node.send("BYE\r\n");
     drop(at_node);
-    assert_eq!(submitter.end(), ("BYE\r\n".into(), false));
+    assert_eq!(client.end(), ("BYE\r\n".into(), false));
 }
 
 #[test]
 fn ends_and_resets_of_either_side_reach_the_other() {
     let node = Node::new("n");
     let proxy = Proxy::start("ends", &[&node]);
-    let (submitter, mut at_node) = proxy.connect("k1", &node);
-    submitter.end_sending();
+    let (client, mut at_node) = proxy.connect("k1", &node);
+    client.end_sending();
     assert_eq!(at_node.end(), (String::new(), false));
-    let (submitter, mut at_node) = proxy.connect("k2", &node);
-    submitter.reset();
+    let (client, mut at_node) = proxy.connect("k2", &node);
+    client.reset();
     assert!(at_node.end().1, "a reset");
     // Last, as the module spares a node that broke a connection.
-    let (mut submitter, at_node) = proxy.connect("k3", &node);
+    let (mut client, at_node) = proxy.connect("k3", &node);
     at_node.reset();
-    assert!(submitter.end().1, "a reset");
+    assert!(client.end().1, "a reset");
 }
 
 #[test]
@@ -90,16 +90,16 @@
         &overlong,
         &hundreds,
     ] {
-        let mut submitter = proxy.submitter();
-        submitter.send(line);
-        submitter.end_sending();
-        assert_eq!(submitter.end().0, "ERR\r\n", "{line:?}");
+        let mut client = proxy.client();
+        client.send(line);
+        client.end_sending();
+        assert_eq!(client.end().0, "ERR\r\n", "{line:?}");
     }
-    let mut half = proxy.submitter();
+    let mut half = proxy.client();
     half.send("OPEN 0a k c=fe");
     half.end_sending();
     assert_eq!(half.end(), (String::new(), false));
-    proxy.submitter().reset();
+    proxy.client().reset();
     assert!(node.untouched());
     // One that speaks while it should wait for its answer is none to serve either.
     let mut hasty = proxy.open("k");
@@ -110,25 +110,25 @@
     proxy.connect("k", &node);
 }
 
-// Guards a job against another submitter that opens one under the same id: neither is served in its place, and
+// Guards a job against another client that opens one under the same id: neither is served in its place, and
 // the execute node, which would turn it away, does not see it.
 #[test]
 fn an_id_that_is_open_already_gets_an_error_and_harms_nobody() {
     let node = Node::new("n");
     let proxy = Proxy::start("same", &[&node]);
-    let (mut submitter, mut at_node) = proxy.connect("k", &node);
+    let (mut client, mut at_node) = proxy.connect("k", &node);
     let mut other = proxy.open("k");
     assert_eq!(other.line(), "ERR\r\n");
     assert_eq!(other.end(), (String::new(), false));
-    submitter.send("m\r\n");
+    client.send("m\r\n");
     assert_eq!(at_node.line(), "m\r\n");
     assert!(node.untouched());
     at_node.send("BYE\r\n");
     drop(at_node);
-    assert_eq!(submitter.end().0, "BYE\r\n");
+    assert_eq!(client.end().0, "BYE\r\n");
 }
 
-// Guards against submitters that keep their connection and never open a job: each is owed a word within three
+// Guards against clients that keep their connection and never open a job: each is owed a word within three
 // seconds, and all of them together must leave room for those that do.
 #[test]
 fn silent_submitters_are_sent_away_soon_and_starve_nobody() {
@@ -137,7 +137,7 @@
     let start = Instant::now();
     let crowd: Vec<Peer> = (0..300)
         .map(|i| {
-            let mut peer = proxy.submitter();
+            let mut peer = proxy.client();
             match i % 3 {
                 0 => peer.send("PING\r\n"),
                 1 => peer.send("OPEN 0a k c="),
@@ -146,30 +146,30 @@
             peer
         })
         .collect();
-    let (mut submitter, mut at_node) = proxy.connect("k", &node);
+    let (mut client, mut at_node) = proxy.connect("k", &node);
     for mut peer in crowd {
         let said = peer.end().0;
         let told = said.strip_prefix("PONG\r\n").unwrap_or(&said);
         assert!(["ERR\r\n", "BUSY 1000\r\n"].contains(&told), "{said:?}");
     }
     assert!(start.elapsed() < 3 * SECOND, "{:?}", start.elapsed());
-    submitter.send("m\r\n");
+    client.send("m\r\n");
     assert_eq!(at_node.line(), "m\r\n");
 }
 
-// Guards against a submitter that sends without end, at full speed: its words are not kept, and it is told.
+// Guards against a client that sends without end, at full speed: its words are not kept, and it is told.
 #[test]
 fn a_line_without_end_is_answered_and_costs_no_memory() {
     let node = Node::new("n");
     let proxy = Proxy::start("endless", &[&node]);
-    let mut submitter = proxy.submitter();
-    let mut stream = submitter.stream().try_clone().unwrap();
+    let mut client = proxy.client();
+    let mut stream = client.stream().try_clone().unwrap();
     let writer = std::thread::spawn(move || {
         let part = vec![b'x'; 1 << 20];
         // Refused at some point, as nobody is to take in all of it.
         (0..60).try_for_each(|_| std::io::Write::write_all(&mut stream, &part)).is_ok()
     });
-    assert_eq!(submitter.line(), "ERR\r\n");
+    assert_eq!(client.line(), "ERR\r\n");
     writer.join().unwrap();
     assert!(proxy.most_memory_kb() < 32 << 10);
     proxy.connect("k", &node);
@@ -184,8 +184,8 @@
     for (i, answer) in answers.iter().enumerate() {
         // A new proxy each time: one that has seen failures spares these nodes.
         let proxy = Proxy::start_with(&format!("claims{i}"), 1024, &entries, SETTINGS);
-        let mut submitter = proxy.open(&format!("k{i}"));
-        // Each claim is closed before the next; the last thing the submitter hears is one refusal.
+        let mut client = proxy.open(&format!("k{i}"));
+        // Each claim is closed before the next; the last thing the client hears is one refusal.
         let (mut claims, mut answered) = (0, None);
         while answered.is_none() && claims < 4 {
             let taken = nodes.iter().find_map(|node| node.try_opened());
@@ -197,12 +197,12 @@
                     at_node.end();
                     claims += 1;
                 }
-                None => answered = submitter.line_within(Duration::from_millis(5)),
+                None => answered = client.line_within(Duration::from_millis(5)),
             }
         }
-        let answered = answered.unwrap_or_else(|| submitter.line());
+        let answered = answered.unwrap_or_else(|| client.line());
         assert!(claims > 0 && answered.starts_with("BUSY "), "{answer:?}: {claims} claims, {answered:?}");
-        assert_eq!(submitter.end(), (String::new(), false));
+        assert_eq!(client.end(), (String::new(), false));
     }
 }
 
@@ -210,9 +210,9 @@
 fn a_silent_node_is_given_up_in_time_for_an_answer() {
     let nodes = [Node::new("n0"), Node::new("n1")];
     let proxy = Proxy::start("late", &[&nodes[0], &nodes[1]]);
-    let mut submitter = proxy.submitter();
+    let mut client = proxy.client();
     let sent = Instant::now();
-    submitter.send("OPEN 0a k c=feed,d=1500\r\n");
+    client.send("OPEN 0a k c=feed,d=1500\r\n");
     let mut open: Vec<(Peer, String)> = Vec::new();
     let answer = loop {
         if let Some(claim) = nodes.iter().find_map(|node| node.try_opened()) {
@@ -222,26 +222,26 @@
             }
             open.push(claim);
         }
-        if let Some(answer) = submitter.line_within(Duration::from_millis(5)) {
+        if let Some(answer) = client.line_within(Duration::from_millis(5)) {
             break answer;
         }
     };
     assert!(sent.elapsed() < Duration::from_millis(1500), "{:?}", sent.elapsed());
     assert!(answer.starts_with("BUSY ") || answer == "ERR\r\n", "{answer:?}");
     assert!(!open.is_empty());
-    assert_eq!(submitter.end(), (String::new(), false));
+    assert_eq!(client.end(), (String::new(), false));
 }
 
 #[test]
 fn a_submitter_that_leaves_takes_its_claim_along() {
     let node = Node::new("n");
     let proxy = Proxy::start("leaves", &[&node]);
-    let mut submitter = proxy.submitter();
+    let mut client = proxy.client();
     // The claim by itself would last a third of this.
-    submitter.send("OPEN 0a k c=feed,d=40000\r\n");
+    client.send("OPEN 0a k c=feed,d=40000\r\n");
     let (mut at_node, _) = node.opened();
     let left = Instant::now();
-    drop(submitter);
+    drop(client);
     assert_eq!(at_node.end(), (String::new(), false));
     assert!(left.elapsed() < 10 * SECOND, "{:?}", left.elapsed());
 }
@@ -252,18 +252,18 @@
     let proxy = Proxy::start("stood", &[&nodes[0], &nodes[1]]);
     let mut standing = Vec::new();
     for i in 0..4 {
-        let mut submitter = proxy.submitter();
-        submitter.send(&format!("OPEN 0a{i} k{i} c=feed,d=4800,at=n1\r\n"));
+        let mut client = proxy.client();
+        client.send(&format!("OPEN 0a{i} k{i} c=feed,d=4800,at=n1\r\n"));
         let (mut at_node, line) = nodes[1].opened();
         assert!(line.ends_with(",at=n1\r\n"), "{line}");
         at_node.send("UP r\r\n");
-        assert_eq!(submitter.line(), "UP r\r\n");
-        standing.push((submitter, at_node));
+        assert_eq!(client.line(), "UP r\r\n");
+        standing.push((client, at_node));
     }
     proxy.list.tell(&nodes[1].entry("draining"));
-    for (mut submitter, mut at_node) in standing {
-        assert_eq!(submitter.line(), "MOVE\r\n");
-        assert_eq!(submitter.end(), (String::new(), false));
+    for (mut client, mut at_node) in standing {
+        assert_eq!(client.line(), "MOVE\r\n");
+        assert_eq!(client.end(), (String::new(), false));
         at_node.end();
     }
     assert!(nodes[0].untouched());
@@ -273,16 +273,16 @@
 fn a_move_waits_for_the_end_of_a_line() {
     let node = Node::new("n");
     let proxy = Proxy::start("between", &[&node]);
-    let (mut submitter, mut at_node) = proxy.connect("k", &node);
+    let (mut client, mut at_node) = proxy.connect("k", &node);
     let (mut other, _at_node) = proxy.connect("k2", &node);
     at_node.send("half ");
-    assert_eq!(submitter.read(5), b"half ");
+    assert_eq!(client.read(5), b"half ");
     proxy.list.tell(&node.entry("draining"));
     // The other one is moved in the same second; by then this one's move is wanted too, or soon will be.
     assert_eq!(other.line(), "MOVE\r\n");
     at_node.send("a line\r\n");
-    assert_eq!(submitter.line(), "a line\r\n");
-    assert_eq!(submitter.line(), "MOVE\r\n");
+    assert_eq!(client.line(), "a line\r\n");
+    assert_eq!(client.line(), "MOVE\r\n");
 }
 
 #[test]
@@ -291,10 +291,10 @@
     // Without a message aim no note tells of delays; silence is told all the same.
     let settings = SETTINGS.replace("[0.06]", "[null]");
     let proxy = Proxy::start_with("silent", 1024, &[node.entry("ready")], &settings);
-    let (mut submitter, _at_node) = proxy.connect("k", &node);
+    let (mut client, _at_node) = proxy.connect("k", &node);
     let sent = Instant::now();
-    submitter.send("M\r\n");
-    assert_eq!(submitter.line(), "MOVE\r\n");
+    client.send("M\r\n");
+    assert_eq!(client.line(), "MOVE\r\n");
     assert!(sent.elapsed() < 7 * SECOND, "{:?}", sent.elapsed());
 }
 
@@ -316,9 +316,9 @@
     assert!(calls.iter().all(|call| call.from == 2));
     assert!(calls[5].at - failed > Duration::from_millis(50), "the gaps grow with each failure");
     // The watch is up again: what is told then arrives.
-    let (mut submitter, _at_node) = proxy.connect("k", &node);
+    let (mut client, _at_node) = proxy.connect("k", &node);
     proxy.list.tell(&node.entry("draining"));
-    assert_eq!(submitter.line(), "MOVE\r\n");
+    assert_eq!(client.line(), "MOVE\r\n");
 }
 
 // Guards against requests to a node that drains where the watch that would tell of it has fallen silent: a change binds
@@ -335,10 +335,10 @@
         nodes.iter().for_each(|node| proxy.list.tell(&node.entry("draining")));
     }
     let told = Instant::now();
-    for ((mut submitter, _at_node), proxy) in standing.into_iter().zip(&proxies) {
+    for ((mut client, _at_node), proxy) in standing.into_iter().zip(&proxies) {
         // The next call misses nothing that was told in between.
         assert_eq!(proxy.list.calls.recv_timeout(LONG).unwrap().from, 1);
-        assert_eq!(submitter.line(), "MOVE\r\n");
+        assert_eq!(client.line(), "MOVE\r\n");
     }
     assert!(told.elapsed() < 6 * SECOND, "{:?}", told.elapsed());
 }
@@ -348,7 +348,7 @@
 fn a_spoilt_machine_list_leaves_the_last_good_one_in_force() {
     let node = Node::new("n");
     let proxy = Proxy::start("spoilt", &[&node]);
-    let (mut submitter, _at_node) = proxy.connect("k", &node);
+    let (mut client, _at_node) = proxy.connect("k", &node);
     proxy.list.calls.recv_timeout(LONG).unwrap();
     let gone = format!(r#"{{"index":9,"snapshot":true,"endpoints":[{}"#, node.entry("gone"));
     let huge = format!(r#"{{"index":9,"snapshot":true,"endpoints":[],"more":"{}"}}"#, "x".repeat(5 << 20));
@@ -365,7 +365,7 @@
         proxy.connect("k2", &node);
     }
     proxy.list.tell(&node.entry("draining"));
-    assert_eq!(submitter.line(), "MOVE\r\n");
+    assert_eq!(client.line(), "MOVE\r\n");
 }
 
 #[test]
@@ -379,9 +379,9 @@
     let _silent_claim = node.opened();
     standing.push(proxy.connect("new", &node));
     let mut times = Vec::new();
-    for (submitter, _) in &mut standing {
-        assert_eq!(submitter.line(), "MOVE\r\n");
-        assert_eq!(submitter.end(), (String::new(), false));
+    for (client, _) in &mut standing {
+        assert_eq!(client.line(), "MOVE\r\n");
+        assert_eq!(client.end(), (String::new(), false));
         times.push(told.elapsed());
     }
     let answer = unanswered.line();
@@ -396,7 +396,7 @@
 fn a_reload_turns_to_another_machine_list_and_keeps_everyone() {
     let nodes = [Node::new("n0"), Node::new("n1")];
     let mut proxy = Proxy::start("reload", &[&nodes[0]]);
-    let (mut submitter, mut at_node) = proxy.connect("k", &nodes[0]);
+    let (mut client, mut at_node) = proxy.connect("k", &nodes[0]);
     assert_eq!(proxy.list.calls.recv_timeout(LONG).unwrap().from, 1);
     proxy.reload("{\"name\":");
     assert!(proxy.logged().contains("the old config stays"));
@@ -413,11 +413,11 @@
             [(0, 0), (0, 3)]
         );
         assert!(old.calls.try_recv().is_err(), "the old one hears no more");
-        submitter.send(&format!("m {round}\r\n"));
+        client.send(&format!("m {round}\r\n"));
         assert_eq!(at_node.line(), format!("m {round}\r\n"));
     }
     proxy.list.tell(&nodes[0].entry("draining"));
-    assert_eq!(submitter.line(), "MOVE\r\n");
+    assert_eq!(client.line(), "MOVE\r\n");
     proxy.connect("k2", &nodes[1]);
     // The same config again changes nothing, and a planned stop works as before.
     proxy.signal("-HUP");
@@ -468,11 +468,11 @@
     let mut third = proxy.open("k3");
     assert_eq!(third.line(), "BUSY 1000\r\n");
     assert_eq!(third.end(), (String::new(), false));
-    let (mut submitter, mut at_node) = standing.pop().unwrap();
+    let (mut client, mut at_node) = standing.pop().unwrap();
     at_node.send("BYE\r\n");
     at_node.end_sending();
-    assert_eq!(submitter.end().0, "BYE\r\n");
-    drop((submitter, at_node));
+    assert_eq!(client.end().0, "BYE\r\n");
+    drop((client, at_node));
     // The place is free once the task has ended, a moment after the end was passed on.
     let start = Instant::now();
     while start.elapsed() < LONG {
@@ -491,7 +491,7 @@
     let node = Node::new("n");
     // The config promises far more than the process is given.
     let proxy = Proxy::start_limited("descriptors", 24, 1024, &[node.entry("ready")]);
-    let crowd: Vec<Peer> = (0..40).map(|_| proxy.submitter()).collect();
+    let crowd: Vec<Peer> = (0..40).map(|_| proxy.client()).collect();
     // Some of them were let in just to be told.
     let told = crowd.into_iter().filter_map(|mut peer| peer.line_within(Duration::from_millis(100)));
     assert!(told.into_iter().any(|line| line == "BUSY 1000\r\n"));
@@ -502,10 +502,10 @@
 fn a_job_served_before_it_was_up_is_not_tried_again() {
     let node = Node::new("n");
     let proxy = Proxy::start("bye", &[&node]);
-    let mut submitter = proxy.open("k");
+    let mut client = proxy.open("k");
     let (mut at_node, _) = node.opened();
     at_node.send("BYE\r\n");
-    assert_eq!(submitter.end(), ("BYE\r\n".into(), false));
+    assert_eq!(client.end(), ("BYE\r\n".into(), false));
     assert!(node.untouched());
 }
 
@@ -574,7 +574,7 @@
     });
     for n in 0..100 {
         let since = Instant::now();
-        let mut other = proxy.submitter();
+        let mut other = proxy.client();
         other.send("PING\r\n");
         assert_eq!(other.line(), "PONG\r\n");
         assert!(since.elapsed() < SECOND, "{n}: {:?}", since.elapsed());
--- a/crates/pierloom/tests/upgrade.rs
+++ b/crates/pierloom/tests/upgrade.rs
@@ -27,11 +27,11 @@
 
 /// Lines pass both ways.
 fn still_stand(standing: &mut [(Peer, Peer)]) {
-    for (submitter, at_node) in standing {
-        submitter.send("m\r\n");
+    for (client, at_node) in standing {
+        client.send("m\r\n");
         assert_eq!(at_node.line(), "m\r\n");
         at_node.send("m back\r\n");
-        assert_eq!(submitter.line(), "m back\r\n");
+        assert_eq!(client.line(), "m back\r\n");
     }
 }
 
@@ -97,8 +97,8 @@
         still_stand(&mut standing);
     }
     running.signal("-TERM");
-    for (submitter, _) in &mut standing {
-        assert_eq!(submitter.line(), "MOVE\r\n", "nobody is there to take them");
+    for (client, _) in &mut standing {
+        assert_eq!(client.line(), "MOVE\r\n", "nobody is there to take them");
     }
 }
 
@@ -142,7 +142,7 @@
     let mut waits = old.open("3");
     let (mut waits_at, _) = node.opened();
     // Taken in, and nothing heard yet.
-    let mut unheard = old.submitter();
+    let mut unheard = old.client();
     unheard.send("OPEN 0a4 ");
     // The listener takes them in in order.
     old.connect("5", &node);
@@ -198,8 +198,8 @@
         }
     }
     drop((next, words));
-    for (submitter, _) in &mut standing {
-        assert_eq!(submitter.line(), "MOVE\r\n");
+    for (client, _) in &mut standing {
+        assert_eq!(client.line(), "MOVE\r\n");
     }
     drop(standing);
     assert!(old.exit().success());
--- a/crates/pierloom/tests/world/mod.rs
+++ b/crates/pierloom/tests/world/mod.rs
@@ -1,4 +1,4 @@
-//! Starts the real program and plays those round it: submitters, execute nodes and the machine list.
+//! Starts the real program and plays those round it: clients, execute nodes and the machine list.
 //! Everything waits on events, with limits far beyond what a sound run needs.
 
 use std::collections::VecDeque;
@@ -452,34 +452,34 @@
         Proxy { child, address, list, log, text, path }
     }
 
-    pub fn submitter(&self) -> Peer {
+    pub fn client(&self) -> Peer {
         Peer::connect(self.address)
     }
 
     /// Opens a job with that key, and with an id made of it.
     pub fn open(&self, key: &str) -> Peer {
-        let mut peer = self.submitter();
+        let mut peer = self.client();
         peer.send(&format!("OPEN 0a{key} {key} c=feed,d=4800\r\n"));
         peer
     }
 
     /// Opens a job and has the execute node say that it is up.
     pub fn connect(&self, key: &str, node: &Node) -> (Peer, Peer) {
-        let mut submitter = self.open(key);
+        let mut client = self.open(key);
         let (mut at_node, _) = node.opened();
         at_node.send("UP r1\r\n");
-        assert_eq!(submitter.line(), "UP r1\r\n");
-        (submitter, at_node)
+        assert_eq!(client.line(), "UP r1\r\n");
+        (client, at_node)
     }
 
     /// Opens a job and has whichever node it comes to say that it is up.
     pub fn connect_any(&self, key: &str, nodes: &[Node]) -> (Peer, Peer) {
-        let mut submitter = self.open(key);
+        let mut client = self.open(key);
         let opened = || nodes.iter().find_map(Node::try_opened);
         let mut at_node = until(opened).expect("an attempt").0;
         at_node.send("UP r1\r\n");
-        assert_eq!(submitter.line(), "UP r1\r\n");
-        (submitter, at_node)
+        assert_eq!(client.line(), "UP r1\r\n");
+        (client, at_node)
     }
 
     pub fn signal(&self, name: &str) {
--- a/crates/proxy/src/claim.rs
+++ b/crates/proxy/src/claim.rs
@@ -27,7 +27,7 @@
     Late,
     /// The connection ended or broke.
     Broke,
-    /// The submitter left, or was sent away.
+    /// The client left, or was sent away.
     Left,
     /// When it could have been written, it was not to be any more.
     Barred,
@@ -68,7 +68,7 @@
 
 /// Connects, writes the whole of `opening` and reads the answer; nothing stays open where it fails. It is counted by
 /// its job's class once it is written. `opening` is asked for once the connection is up, and nothing lies between it and
-/// the first byte: it says none where the execute node, the submitter or the time no longer allow one.
+/// the first byte: it says none where the execute node, the client or the time no longer allow one.
 pub async fn attempt(
     core: &Core,
     front: &dyn Front,
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -34,7 +34,7 @@
 pub struct Config {
     /// Its name, the same after a restart.
     pub name: String,
-    /// Where submitters connect.
+    /// Where clients connect.
     pub listen: SocketAddr,
     /// Where the machine list is told.
     pub discovery: SocketAddr,
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -32,7 +32,7 @@
     Refuse(Option<Micros>),
     /// Answer: failed.
     Fail,
-    /// Send the submitter away politely; before it is served, nothing.
+    /// Send the client away politely; before it is served, nothing.
     Move,
     /// Hand the connection on to the process after, once it stands.
     HandOn,
@@ -82,7 +82,7 @@
     settings: Settings,
     pub deadlines: Deadlines,
     jobs: RefCell<BTreeMap<RequestId, Entry>>,
-    /// What tells each of them from the others, in its submitter's words.
+    /// What tells each of them from the others, in its client's words.
     identities: RefCell<BTreeSet<String>>,
     next_job: Cell<RequestId>,
     addresses: RefCell<BTreeMap<BackendId, SocketAddr>>,
@@ -99,7 +99,7 @@
     idle: Notify,
     /// Nothing more is begun.
     pub stops: Moment,
-    /// The process is about to end: whatever a job is at, its submitter is owed a word now.
+    /// The process is about to end: whatever a job is at, its client is owed a word now.
     pub ends: Moment,
 }
 
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -1,4 +1,4 @@
-//! The front: what a protocol towards submitters and execute nodes has to provide.
+//! The front: what a protocol towards clients and execute nodes has to provide.
 
 pub mod lines;
 
@@ -25,9 +25,9 @@
     Other,
 }
 
-/// A protocol between submitters, this proxy and execute nodes.
+/// A protocol between clients, this proxy and execute nodes.
 pub trait Front {
-    /// Reads a submitter's first line.
+    /// Reads a client's first line.
     fn first(&self, line: &[u8]) -> First;
     /// Reads a line of an execute node's.
     fn reply(&self, line: &[u8]) -> Reply;
@@ -41,11 +41,11 @@
     fn failure(&self) -> Vec<u8>;
     /// The answer 'served to its end already'.
     fn served(&self) -> &'static [u8];
-    /// Sends a submitter away whose connection stands.
+    /// Sends a client away whose connection stands.
     fn farewell(&self) -> &'static [u8];
 }
 
-/// A submitter's first line.
+/// A client's first line.
 pub enum First {
     /// A job.
     Job(Box<dyn Opening>),
@@ -61,7 +61,7 @@
     fn request(&self) -> Request;
     /// What tells the job from all others.
     fn identity(&self) -> &str;
-    /// How long the submitter waits for its answer.
+    /// How long the client waits for its answer.
     fn wait(&self) -> Micros;
     /// The execute node that holds the connection already.
     fn standing_at(&self) -> Option<BackendId>;
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -13,7 +13,7 @@
 use std::io;
 use std::rc::Rc;
 
-/// The final answer leaves this long before the submitter stops waiting: it has a way to go; microseconds.
+/// The final answer leaves this long before the client stops waiting: it has a way to go; microseconds.
 const MARGIN: Micros = 20_000;
 /// Connections that stood before this proxy's start may take this long to be up again; microseconds.
 const RESUME: Micros = 35_000_000;
@@ -21,47 +21,47 @@
 const RESUME_GAP: Micros = 250_000;
 
 /// Serves one job. The module is asked what to do at each `orders.recv()`.
-pub async fn run(core: Rc<Core>, front: Rc<dyn Front>, submitter: TcpStream, opening: Box<dyn Opening>) {
+pub async fn run(core: Rc<Core>, front: Rc<dyn Front>, client: TcpStream, opening: Box<dyn Opening>) {
     let class = opening.request().class;
     let Some(mut seat) = Seat::take(&core, opening.identity(), class) else {
         // Whoever holds that job is not to suffer from another that says it is the same.
         core.figures.ended(class, Final::Failed);
-        return answer(&core, submitter, &front.failure()).await;
+        return answer(&core, client, &front.failure()).await;
     };
     let (wait, standing_at) = (opening.wait(), opening.standing_at());
     let deadline = core.now() + wait.saturating_sub(MARGIN.min(wait / 4));
     let request = Request { id: seat.id, deadline, ..opening.request() };
     if let Some(node) = standing_at {
-        return resume(&core, &*front, seat, submitter, &*opening, request, node).await;
+        return resume(&core, &*front, seat, client, &*opening, request, node).await;
     }
     core.tell(Event::Request(request.clone()));
     let link = loop {
         let order = tokio::select! {
             biased;
             // First: nothing is begun for one that has left, though an order is there in the same moment.
-            left = breaks_off(&submitter) => return dismiss(&core, &*front, seat, submitter, left).await,
+            left = breaks_off(&client) => return dismiss(&core, &*front, seat, client, left).await,
             order = seat.orders.recv() => order.unwrap_or(Order::Fail),
-            // The module ends a job before this; should it not, the submitter still gets an answer.
+            // The module ends a job before this; should it not, the client still gets an answer.
             () = core.deadlines.until(deadline + MARGIN / 2) => break None,
         };
         match order {
             Order::Claim { node, until } => {
                 seat.begin();
                 let (id, broke_off) = (seat.id, Cell::new(None));
-                // Guards against whatever came while it connected: a drain, the submitter's end, the end of a window
+                // Guards against whatever came while it connected: a drain, the client's end, the end of a window
                 // for repeats or of the time that is left.
                 let line = || {
-                    broke_off.set(broken_off(&submitter));
+                    broke_off.set(broken_off(&client));
                     let goes = broke_off.get().is_none() && core.may_begin(id);
                     goes.then(|| opening.for_node(until.saturating_sub(core.now())))
                 };
                 let attempt = tokio::select! {
                     biased;
-                    left = breaks_off(&submitter) => return dismiss(&core, &*front, seat, submitter, left).await,
+                    left = breaks_off(&client) => return dismiss(&core, &*front, seat, client, left).await,
                     attempt = claim::attempt(&core, &*front, core.address(&node), line, until, class) => attempt,
                 };
                 if let Some(left) = broke_off.get() {
-                    return dismiss(&core, &*front, seat, submitter, left).await;
+                    return dismiss(&core, &*front, seat, client, left).await;
                 }
                 match attempt {
                     Ok(link) => break Some((link, node)),
@@ -69,28 +69,28 @@
                     Err(ending) if ending.status() == Status::Ok => {
                         seat.answered(Final::Served);
                         seat.end(Status::Ok);
-                        return answer(&core, submitter, front.served()).await;
+                        return answer(&core, client, front.served()).await;
                     }
                     Err(ending) => seat.end(ending.status()),
                 }
             }
             Order::Refuse(wait) => {
                 seat.answered(Final::Refused);
-                return answer(&core, submitter, &front.refusal(wait)).await;
+                return answer(&core, client, &front.refusal(wait)).await;
             }
             Order::Fail => {
                 seat.answered(Final::Failed);
-                return answer(&core, submitter, &front.failure()).await;
+                return answer(&core, client, &front.failure()).await;
             }
             Order::Move | Order::HandOn => {}
         }
     };
     let Some((link, node)) = link else {
         core.figures.ended(class, Final::Failed);
-        return answer(&core, submitter, &front.failure()).await;
+        return answer(&core, client, &front.failure()).await;
     };
     seat.stand();
-    let (standing, behind) = Standing::fresh(submitter, link);
+    let (standing, behind) = Standing::fresh(client, link);
     stand(&core, &*front, seat, node, request, standing, behind).await;
 }
 
@@ -109,7 +109,7 @@
             Passage::Over(ending) => return seat.end(ending.status()),
             Passage::Parted(parted) => {
                 let kept = core.hand_on(Connection::new(&seat, &node, &request), parted).await;
-                // Where nobody took it, the submitter is moved, as it would be without another process.
+                // Where nobody took it, the client is moved, as it would be without another process.
                 let Err(back) = kept else { return seat.end(Status::Cancelled) };
                 standing = back;
                 core.order(seat.id, Order::Move);
@@ -162,7 +162,7 @@
     core: &Rc<Core>,
     front: &dyn Front,
     mut seat: Seat,
-    submitter: TcpStream,
+    client: TcpStream,
     opening: &dyn Opening,
     request: Request,
     node: BackendId,
@@ -172,7 +172,7 @@
     let (until, class) = (core.now() + RESUME, request.class);
     let link: Link = loop {
         let line =
-            || broken_off(&submitter).is_none().then(|| opening.for_node(until.saturating_sub(core.now())));
+            || broken_off(&client).is_none().then(|| opening.for_node(until.saturating_sub(core.now())));
         let again_at = core.now() + RESUME_GAP;
         let attempt = async {
             match claim::attempt(core, front, core.address(&node), line, until, class).await {
@@ -185,7 +185,7 @@
         };
         let over = tokio::select! {
             biased;
-            left = breaks_off(&submitter) => return dismiss(core, front, seat, submitter, left).await,
+            left = breaks_off(&client) => return dismiss(core, front, seat, client, left).await,
             attempt = attempt => match attempt {
                 Some(link) => break link,
                 None => core.now() > until,
@@ -194,17 +194,17 @@
         };
         if over {
             core.figures.ended(class, Final::Failed);
-            return answer(core, submitter, &front.failure()).await;
+            return answer(core, client, &front.failure()).await;
         }
     };
     seat.begin();
     core.tell(Event::Open(request.clone(), node.clone()));
     seat.hold();
-    let (standing, behind) = Standing::fresh(submitter, link);
+    let (standing, behind) = Standing::fresh(client, link);
     stand(core, front, seat, node, request, standing, behind).await;
 }
 
-/// How a submitter ended its wait for an answer.
+/// How a client ended its wait for an answer.
 #[derive(Clone, Copy)]
 enum BreaksOff {
     Left,
@@ -212,29 +212,29 @@
     Spoke,
 }
 
-/// Waits until the submitter no longer does.
-async fn breaks_off(submitter: &TcpStream) -> BreaksOff {
-    match read_more(submitter, &mut Vec::new()).await {
+/// Waits until the client no longer does.
+async fn breaks_off(client: &TcpStream) -> BreaksOff {
+    match read_more(client, &mut Vec::new()).await {
         Ok(1..) => BreaksOff::Spoke,
         _ => BreaksOff::Left,
     }
 }
 
-/// Whether the submitter waits no longer, as far as that is to be seen now.
-fn broken_off(submitter: &TcpStream) -> Option<BreaksOff> {
-    match submitter.try_read(&mut [0; LONGEST_LINE]) {
+/// Whether the client waits no longer, as far as that is to be seen now.
+fn broken_off(client: &TcpStream) -> Option<BreaksOff> {
+    match client.try_read(&mut [0; LONGEST_LINE]) {
         Ok(1..) => Some(BreaksOff::Spoke),
         Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
         _ => Some(BreaksOff::Left),
     }
 }
 
-/// Ends a job whose submitter did not wait; the claim is closed by now.
-async fn dismiss(core: &Rc<Core>, front: &dyn Front, seat: Seat, submitter: TcpStream, how: BreaksOff) {
+/// Ends a job whose client did not wait; the claim is closed by now.
+async fn dismiss(core: &Rc<Core>, front: &dyn Front, seat: Seat, client: TcpStream, how: BreaksOff) {
     let _owed = core.owe();
-    // The module is told that the submitter is gone, as for it this one is either way.
+    // The module is told that the client is gone, as for it this one is either way.
     drop(seat);
     if matches!(how, BreaksOff::Spoke) {
-        answer(core, submitter, &front.failure()).await;
+        answer(core, client, &front.failure()).await;
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -42,7 +42,7 @@
 pub struct Parts {
     /// What decides.
     pub module: Box<dyn Decide>,
-    /// The protocol towards submitters and execute nodes.
+    /// The protocol towards clients and execute nodes.
     pub front: Rc<dyn Front>,
 }
 
@@ -98,7 +98,7 @@
         let (core, upgrades) = (core.clone(), upgrades.clone());
         keep_up(&host, "console", move || console.clone().serve(core.clone(), upgrades.clone()));
     }
-    // Ends with the process: new submitters are taken in until then.
+    // Ends with the process: new clients are taken in until then.
     keep_up(&host, "listener", {
         let (core, listener) = (core.clone(), listener.clone());
         move || listener.clone().serve(core.clone(), front.clone())
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -1,4 +1,4 @@
-//! Takes submitters in: the listener, the lobby of those without a job, and the bound on jobs.
+//! Takes clients in: the listener, the lobby of those without a job, and the bound on jobs.
 
 use crate::config::Fault;
 use crate::core::Core;
@@ -20,14 +20,14 @@
 const RESERVED: usize = 40;
 /// Descriptors of one job: both sides.
 const PER_JOB: usize = 2;
-/// Part of all descriptors, and the least number, for submitters without a job: not heard yet, or sent away.
+/// Part of all descriptors, and the least number, for clients without a job: not heard yet, or sent away.
 const LOBBY_PART: usize = 8;
 const LOBBY_LEAST: usize = 16;
 /// How long one that finds no room is told to stay away: some jobs end meanwhile; microseconds.
 const NO_ROOM: Micros = 1_000_000;
-/// From connecting, a submitter has this long to open its job: half of what it is owed a word in; microseconds.
+/// From connecting, a client has this long to open its job: half of what it is owed a word in; microseconds.
 const HEARING: Micros = 1_500_000;
-/// Submitters that the system lets wait to be taken in: beyond that they would try again after a second only.
+/// Clients that the system lets wait to be taken in: beyond that they would try again after a second only.
 const BACKLOG: i32 = 4096;
 /// So many descriptors of the reserved ones, for so long, serve those who are told that their place is wanted;
 /// microseconds.
@@ -36,14 +36,14 @@
 /// Pause after an accept that failed; microseconds.
 const ACCEPT_PAUSE: Micros = 20_000;
 
-/// Takes submitters in.
+/// Takes clients in.
 pub struct Listener {
     listener: TcpListener,
     /// Most jobs at once, of this process and the one before together.
     most: usize,
     /// Jobs that the process before still holds.
     elsewhere: Cell<usize>,
-    /// Another process takes submitters in; rung when that changes.
+    /// Another process takes clients in; rung when that changes.
     closed: Cell<bool>,
     changed: Notify,
     /// Those being told the last who have no place any more.
@@ -86,13 +86,13 @@
         self.elsewhere.set(self.elsewhere.get().saturating_sub(usize::from(one_less)));
     }
 
-    /// Leaves the next submitters to the process that shares the listening socket.
+    /// Leaves the next clients to the process that shares the listening socket.
     pub fn close(&self) {
         self.closed.set(true);
         self.changed.notify_one();
     }
 
-    /// Takes submitters in again.
+    /// Takes clients in again.
     pub fn open(&self) {
         self.closed.set(false);
         self.changed.notify_one();
@@ -103,7 +103,7 @@
         &self.listener
     }
 
-    /// The next submitter, once and while it is for this process to take it in.
+    /// The next client, once and while it is for this process to take it in.
     async fn accept(&self) -> io::Result<TcpStream> {
         loop {
             tokio::select! {
@@ -123,7 +123,7 @@
         self.listener.address()
     }
 
-    /// Accepts for ever; each submitter is a task of its own, where a panic stays.
+    /// Accepts for ever; each client is a task of its own, where a panic stays.
     pub async fn serve(self: Rc<Self>, core: Rc<Core>, front: Rc<dyn Front>) {
         loop {
             let place = self.lobby.enter(&core).await;
@@ -170,7 +170,7 @@
     let _ = stream.try_read(&mut [0; LONGEST_LINE]);
 }
 
-/// What a submitter's opening came to.
+/// What a client's opening came to.
 enum Heard {
     Job(Box<dyn Opening>),
     /// Nothing that can be served.
@@ -182,7 +182,7 @@
 }
 
 impl Listener {
-    /// Hears a submitter, which has a place in the lobby meanwhile; its job, if it has one and there is room.
+    /// Hears a client, which has a place in the lobby meanwhile; its job, if it has one and there is room.
     async fn receive(
         self: &Rc<Self>,
         core: &Rc<Core>,
@@ -244,7 +244,7 @@
     }
 }
 
-/// Reads lines until one opens a job. A submitter waits after that line: with anything behind it, it is none.
+/// Reads lines until one opens a job. A client waits after that line: with anything behind it, it is none.
 async fn hear(front: &dyn Front, stream: &TcpStream) -> Heard {
     let mut received = Vec::new();
     loop {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,4 +1,4 @@
-//! The relay of lines between a submitter and an execute node, once a claim is up, and polite endings.
+//! The relay of lines between a client and an execute node, once a claim is up, and polite endings.
 
 use crate::claim::{Cause, Ending, Link, Reach};
 use crate::core::{Core, Order, Seat};
@@ -86,10 +86,10 @@
     }
 }
 
-/// What is under way between a submitter and an execute node: all that another process needs to go on.
+/// What is under way between a client and an execute node: all that another process needs to go on.
 #[derive(Default, Deserialize, Serialize)]
 pub struct Flow {
-    /// From the submitter to the execute node, and back.
+    /// From the client to the execute node, and back.
     up: Pipe,
     down: Pipe,
     up_lines: Lines,
@@ -100,7 +100,7 @@
 
 /// A connection that is up: both its sides, and what is under way between them.
 pub struct Standing {
-    pub submitter: TcpStream,
+    pub client: TcpStream,
     pub node: TcpStream,
     pub flow: Flow,
 }
@@ -112,7 +112,7 @@
     Parted(Standing),
 }
 
-/// A connection that is up, between a submitter and an execute node.
+/// A connection that is up, between a client and an execute node.
 struct Relay<'a> {
     core: &'a Core,
     front: &'a dyn Front,
@@ -120,13 +120,13 @@
     node_id: &'a BackendId,
     flow: Flow,
     next_silent: Micros,
-    /// The submitter does not take what it is sent, so that nothing more is read from the execute node.
+    /// The client does not take what it is sent, so that nothing more is read from the execute node.
     stalled: bool,
     /// The last thing that the execute node said of the end.
     said: Option<Reply>,
     /// When a move was first wanted.
     move_wanted: Option<Micros>,
-    /// The last word to the submitter is in the buffer, or out.
+    /// The last word to the client is in the buffer, or out.
     farewell: bool,
     /// It is to go on in another process, unless it ends.
     parting: bool,
@@ -134,7 +134,7 @@
 }
 
 impl Relay<'_> {
-    /// Books the lines that passed from the submitter.
+    /// Books the lines that passed from the client.
     fn went_up(&mut self) {
         let (now, waiting) = (self.core.now(), &mut self.flow.waiting);
         self.flow.up_lines.feed(&self.flow.up.buffer, |_| {
@@ -191,21 +191,21 @@
     }
 
     /// Passes on what is there, both ways; an error is a reset of that side.
-    fn pass(&mut self, submitter: &TcpStream, node: &TcpStream) -> Result<(), Broke> {
+    fn pass(&mut self, client: &TcpStream, node: &TcpStream) -> Result<(), Broke> {
         // Down first: what an execute node said before it closed is still there to read, and a write to it fails.
         // After the last word nothing may follow.
         if !self.farewell && self.flow.down.read(node).map_err(|_| Broke::Node)? > 0 {
             self.went_down();
         }
-        self.flow.down.write(submitter).map_err(|_| Broke::Submitter)?;
+        self.flow.down.write(client).map_err(|_| Broke::Client)?;
         self.note_stall();
-        if self.flow.up.read(submitter).map_err(|_| Broke::Submitter)? > 0 {
+        if self.flow.up.read(client).map_err(|_| Broke::Client)? > 0 {
             self.went_up();
         }
         self.flow.up.write(node).map_err(|_| Broke::Node)
     }
 
-    /// Guards against blaming an execute node for a submitter that does not read: what the node says lies unread
+    /// Guards against blaming an execute node for a client that does not read: what the node says lies unread
     /// meanwhile, and its time to answer begins anew after that.
     fn note_stall(&mut self) {
         let stalled = !self.flow.down.buffer.is_empty();
@@ -229,18 +229,18 @@
 
 /// Which side broke its connection.
 enum Broke {
-    Submitter,
+    Client,
     Node,
 }
 
 impl Standing {
     /// One that has just come up. The answer that brought it up is no answer to a message; what came behind it may be.
-    pub fn fresh(submitter: TcpStream, link: Link) -> (Self, Vec<u8>) {
+    pub fn fresh(client: TcpStream, link: Link) -> (Self, Vec<u8>) {
         let Link { stream: node, mut received } = link;
         let after = received.iter().position(|&byte| byte == b'\n').map_or(received.len(), |at| at + 1);
         let behind = received.split_off(after);
         let flow = Flow { down: Pipe { buffer: received, ..Pipe::default() }, ..Flow::default() };
-        (Standing { submitter, node, flow }, behind)
+        (Standing { client, node, flow }, behind)
     }
 }
 
@@ -255,7 +255,7 @@
     behind: Vec<u8>,
 ) -> Passage {
     let ending = |cause| Passage::Over(Ending { reach: Reach::Up, cause });
-    let Standing { submitter, node, flow } = standing;
+    let Standing { client, node, flow } = standing;
     let next_silent = flow.waiting.front().map_or(Micros::MAX, |at| (at + SILENT_STEP).max(core.now()));
     let mut relay = Relay {
         core,
@@ -277,16 +277,16 @@
     }
     relay.flow.down.buffer.splice(..0, answer_up);
     loop {
-        match relay.pass(&submitter, &node) {
+        match relay.pass(&client, &node) {
             Ok(()) => {}
-            Err(Broke::Submitter) => {
+            Err(Broke::Client) => {
                 node.reset_on_close();
                 return ending(Cause::Left);
             }
             Err(Broke::Node) => {
-                // What it said before belongs to the submitter; then the reset is passed on.
-                let _ = relay.flow.down.write(&submitter);
-                submitter.reset_on_close();
+                // What it said before belongs to the client; then the reset is passed on.
+                let _ = relay.flow.down.write(&client);
+                client.reset_on_close();
                 return ending(relay.cause());
             }
         }
@@ -305,12 +305,12 @@
             && relay.move_wanted.is_none()
             && relay.said.is_none()
         {
-            return Passage::Parted(Standing { flow: relay.flow, submitter, node });
+            return Passage::Parted(Standing { flow: relay.flow, client, node });
         }
         if let Some(wanted) = relay.move_wanted.filter(|_| relay.ended_at.is_none()) {
             let between = relay.flow.down.buffer.is_empty() && !relay.flow.down_lines.within;
             if between && !relay.farewell {
-                // The execute node is let go only when the word is out: a submitter that reads late gets it late.
+                // The execute node is let go only when the word is out: a client that reads late gets it late.
                 relay.farewell = true;
                 relay.flow.down.buffer.extend_from_slice(front.farewell());
                 continue;
@@ -320,7 +320,7 @@
             {
                 drop(node);
                 relay.seat.end(Status::Cancelled);
-                answer(core, submitter, b"").await;
+                answer(core, client, b"").await;
                 return ending(Cause::Left);
             }
         }
@@ -338,7 +338,7 @@
         let look_at = relay.look_at();
         tokio::select! {
             biased;
-            () = submitter.ready(at_submitter) => {}
+            () = client.ready(at_submitter) => {}
             () = node.ready(at_node) => {}
             order = relay.seat.orders.recv() => match order {
                 Some(Order::Move) => drop(relay.move_wanted.get_or_insert(core.now())),
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! The planned stop: new submitters still come for a moment, and all are sent away in a spread.
+//! The planned stop: new clients still come for a moment, and all are sent away in a spread.
 
 use crate::core::{Core, Order};
 use pierloom_decision::Micros;
@@ -9,7 +9,7 @@
 const LONGEST_COUNTED: Micros = 3_000_000;
 /// ...and this much more; microseconds.
 const KILL_SLACK: Micros = 700_000;
-/// Until then the front may still send new submitters; microseconds.
+/// Until then the front may still send new clients; microseconds.
 const STILL_COMING: Micros = 450_000;
 /// Before the kill, all moves are under way this early, and the process ends this early; microseconds.
 const MOVED_EARLY: Micros = 1_100_000;
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -45,7 +45,7 @@
     Withheld(String, bool),
     /// The old one holds so many jobs.
     Jobs(usize),
-    /// A connection that stands, with its sockets: the submitter's, then the execute node's.
+    /// A connection that stands, with its sockets: the client's, then the execute node's.
     Connection(Connection, Flow),
     /// The new one holds the connection that came last, or (false) cannot.
     Holds(bool),
@@ -263,8 +263,8 @@
     }
 
     fn adopt(&self, pass: &Pass, connection: Connection, flow: Flow) -> bool {
-        let (Ok(submitter), Ok(node)) = (pass.stream(), pass.stream()) else { return false };
-        job::adopt(&self.core, self.front.clone(), connection, Standing { submitter, node, flow })
+        let (Ok(client), Ok(node)) = (pass.stream(), pass.stream()) else { return false };
+        job::adopt(&self.core, self.front.clone(), connection, Standing { client, node, flow })
     }
 
     /// The old process's side, until the new one has ended, or did not start in time.
@@ -304,11 +304,11 @@
                     },
                     Some(word) = tells.recv() => say(pass, &word).await?,
                     Some(one) = handed.recv(), if under_way.is_none() => {
-                        let HandedOn { connection, standing: Standing { submitter, node, flow }, done } = one;
+                        let HandedOn { connection, standing: Standing { client, node, flow }, done } = one;
                         let word = Word::Connection(connection, flow);
-                        let sent = say_with(pass, &word, &[Socket::Stream(&submitter), Socket::Stream(&node)]).await;
+                        let sent = say_with(pass, &word, &[Socket::Stream(&client), Socket::Stream(&node)]).await;
                         let Word::Connection(_, flow) = word else { continue };
-                        under_way = Some((Standing { submitter, node, flow }, done));
+                        under_way = Some((Standing { client, node, flow }, done));
                         sent?;
                     }
                     () = self.core.deadlines.until(self.core.now() + STEP) => {
