--- a/crates/pierloom/src/main.rs
+++ b/crates/pierloom/src/main.rs
@@ -1,5 +1,5 @@
 #![forbid(unsafe_code)]
-//! The real proxy: places clients' connections on execute nodes as the decision module says.
+//! The real proxy: places clients' connections on backends as the decision module says.
 
 mod logs;
 mod settings;
--- a/crates/pierloom/tests/bad_input.rs
+++ b/crates/pierloom/tests/bad_input.rs
@@ -92,7 +92,7 @@
 // Stated: clients that send much and go, or say half a line and rest, cost a place among those not heard yet, for a
 // second and a half at most, and no memory.
 #[test]
-fn floods_of_words_from_submitters_that_go_harm_nobody() {
+fn floods_of_words_from_clients_that_go_harm_nobody() {
     let node = Node::new("n");
     let proxy = Proxy::start_limited("floods", 128, 128, &[node.entry("ready")]);
     let flood = vec![b'x'; 300_000];
--- a/crates/pierloom/tests/proxy.rs
+++ b/crates/pierloom/tests/proxy.rs
@@ -1,4 +1,4 @@
-//! The real program as a process, among clients, execute nodes and a machine list.
+//! The real program as a process, among clients, backends and a machine list.
 
 #![allow(clippy::disallowed_types, clippy::disallowed_methods)] // peers of the real program, on real sockets
 
@@ -80,7 +80,7 @@
         "OPEN 0a k c=feed,d=4800\n",
         "OPEN \u{e9} k c=feed,d=4800\r\n",
         "GET / HTTP/1.1\r\n",
-        // Guard against requests that execute nodes turn away: the module would take that for trouble there.
+        // Guard against requests that backends turn away: the module would take that for trouble there.
         "OPEN 0a k c=feeds,d=4800\r\n",
         "OPEN 0a k c=feed,d=-5\r\n",
         "OPEN 0a k c=feed,d=\r\n",
@@ -111,7 +111,7 @@
 }
 
 // Guards a job against another client that opens one under the same id: neither is served in its place, and
-// the execute node, which would turn it away, does not see it.
+// the backend, which would turn it away, does not see it.
 #[test]
 fn an_id_that_is_open_already_gets_an_error_and_harms_nobody() {
     let node = Node::new("n");
--- a/crates/pierloom/tests/world/mod.rs
+++ b/crates/pierloom/tests/world/mod.rs
@@ -1,4 +1,4 @@
-//! Starts the real program and plays those round it: clients, execute nodes and the machine list.
+//! Starts the real program and plays those round it: clients, backends and the machine list.
 //! Everything waits on events, with limits far beyond what a sound run needs.
 
 use std::collections::VecDeque;
@@ -93,7 +93,7 @@
     }
 }
 
-/// An execute node: a listener whose connections wait to be taken.
+/// A backend: a listener whose connections wait to be taken.
 pub struct Node {
     pub name: &'static str,
     address: SocketAddr,
@@ -137,7 +137,7 @@
     }
 }
 
-/// An execute node whose queue of connections is full: whoever connects next comes up only once it is unplugged, when
+/// A backend whose queue of connections is full: whoever connects next comes up only once it is unplugged, when
 /// the system tries again, within about a second.
 pub struct Plugged {
     pub name: &'static str,
@@ -390,7 +390,7 @@
 }
 
 impl Proxy {
-    /// Starts with these execute nodes on its list.
+    /// Starts with these backends on its list.
     pub fn start(name: &str, nodes: &[&Node]) -> Self {
         let entries: Vec<String> = nodes.iter().map(|node| node.entry("ready")).collect();
         Proxy::start_with(name, 1024, &entries, SETTINGS)
@@ -463,7 +463,7 @@
         peer
     }
 
-    /// Opens a job and has the execute node say that it is up.
+    /// Opens a job and has the backend say that it is up.
     pub fn connect(&self, key: &str, node: &Node) -> (Peer, Peer) {
         let mut client = self.open(key);
         let (mut at_node, _) = node.opened();
--- a/crates/proxy/src/claim.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,4 +1,4 @@
-//! A claim: one try of a job at an execute node.
+//! An attempt: one try of a job at a backend.
 
 use crate::core::Core;
 use crate::front::{Front, Reply};
@@ -7,7 +7,7 @@
 use pierloom_host::TcpStream;
 use std::net::SocketAddr;
 
-/// How far a claim came before it ended.
+/// How far an attempt came before it ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
     /// No connection.
@@ -20,7 +20,7 @@
     Up,
 }
 
-/// Why a claim ended.
+/// Why an attempt ended.
 #[derive(Debug)]
 pub enum Cause {
     /// Nothing came in the time there was.
@@ -31,11 +31,11 @@
     Left,
     /// When it could have been written, it was not to be any more.
     Barred,
-    /// The execute node said so.
+    /// The backend said so.
     Said(Reply),
 }
 
-/// The end of a claim: how far it came, and why it ended.
+/// The end of an attempt: how far it came, and why it ended.
 #[derive(Debug)]
 pub struct Ending {
     pub reach: Reach,
@@ -60,7 +60,7 @@
     }
 }
 
-/// A connection that is up: all that the execute node sent so far, its answer first.
+/// A connection that is up: all that the backend sent so far, its answer first.
 pub struct Link {
     pub stream: TcpStream,
     pub received: Vec<u8>,
@@ -68,8 +68,8 @@
 
 /// Connects, writes the whole of `opening` and reads the answer; nothing stays open where it fails. It is counted by
 /// its job's class once it is written. `opening` is asked for once the connection is up, and nothing lies between it and
-/// the first byte: it says none where the execute node, the client or the time no longer allow one.
-pub async fn attempt(
+/// the first byte: it says none where the backend, the client or the time no longer allow one.
+pub async fn make(
     core: &Core,
     front: &dyn Front,
     node: Option<SocketAddr>,
@@ -93,7 +93,7 @@
         let opening = opening().ok_or(Cause::Barred)?;
         write_all(&stream, &opening).await.map_err(|_| Cause::Broke)?;
         reach = Reach::Written;
-        core.figures.claimed(class);
+        core.figures.attempted(class);
         read_line(&stream, Vec::new()).await.map_err(|_| Cause::Broke)
     };
     let answer = tokio::select! {
--- a/crates/proxy/src/console.rs
+++ b/crates/proxy/src/console.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Fault;
 use crate::core::Core;
-use crate::lobby::{Lobby, Place};
+use crate::pending::{Pending, Place};
 use crate::upgrade::Upgrades;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -39,14 +39,14 @@
 /// Takes staff's calls in.
 pub struct Console {
     listener: TcpListener,
-    lobby: Rc<Lobby>,
+    pending: Rc<Pending>,
 }
 
 impl Console {
     pub fn bind(host: &Host, address: SocketAddr, sockets: usize) -> Result<Self, Fault> {
         let listener =
             host.listen(address, BACKLOG, false).map_err(|e| format!("console: {address}: {e}"))?;
-        Ok(Console { listener, lobby: Lobby::new(places(sockets)) })
+        Ok(Console { listener, pending: Pending::new(places(sockets)) })
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -56,7 +56,7 @@
     /// Accepts for ever; each call is a task of its own, where a panic stays.
     pub async fn serve(self: Rc<Self>, core: Rc<Core>, upgrades: Rc<Upgrades>) {
         loop {
-            let place = self.lobby.enter(&core).await;
+            let place = self.pending.enter(&core).await;
             match self.listener.accept().await {
                 Ok((stream, _)) => drop(core.host.spawn(call(core.clone(), upgrades.clone(), stream, place))),
                 Err(e) => {
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, oneshot};
 
-/// Notes of kind 2 come at most this often for each execute node; microseconds.
+/// Notes of kind 2 come at most this often for each backend; microseconds.
 const NOTE_GAP: Micros = 1_000_000;
 /// They tell of delays over this part of the shortest message aim, and once of the return below it.
 const NOTED_PART: u64 = 3;
@@ -26,8 +26,8 @@
 /// What the module wants of a job.
 #[derive(Debug)]
 pub enum Order {
-    /// Try that execute node, and stop waiting at that time.
-    Claim { node: BackendId, until: Micros },
+    /// Try that backend, and stop waiting at that time.
+    Attempt { node: BackendId, until: Micros },
     /// Answer: refused, with the time to stay away.
     Refuse(Option<Micros>),
     /// Answer: failed.
@@ -51,7 +51,7 @@
     standing: bool,
 }
 
-/// What was last noted of the delay at an execute node.
+/// What was last noted of the delay at a backend.
 #[derive(Default)]
 struct Noted {
     at: Micros,
@@ -182,7 +182,9 @@
         actions.iter().for_each(|action| self.ledger.borrow_mut().wanted(now, action, cause));
         for action in actions {
             match action {
-                Action::Send { id, backend, until } => self.order(id, Order::Claim { node: backend, until }),
+                Action::Send { id, backend, until } => {
+                    self.order(id, Order::Attempt { node: backend, until })
+                }
                 Action::Refuse { id, retry_after } => self.order(id, Order::Refuse(retry_after)),
                 Action::Fail(id) => self.order(id, Order::Fail),
                 Action::Move(id) => self.order(id, Order::Move),
@@ -238,7 +240,7 @@
         self.addresses.borrow().get(node).copied()
     }
 
-    /// Reports how long a message took at an execute node, as often as the module expects to hear of it.
+    /// Reports how long a message took at a backend, as often as the module expects to hear of it.
     pub fn note_delay(&self, id: RequestId, node: &BackendId, delay: Micros) {
         let aims = self.settings.classes.iter().map(|class| class.message_aim);
         let Some(aim) = aims.filter(|&aim| aim > 0).min() else { return };
@@ -286,12 +288,12 @@
         self.figures.text(Now { jobs: self.jobs(), listed, avoided })
     }
 
-    /// Whether a machine list ever named that execute node, or staff withhold it.
+    /// Whether a machine list ever named that backend, or staff withhold it.
     pub fn knows(&self, node: &str) -> bool {
         self.module.borrow().books().knows(node)
     }
 
-    /// The execute nodes that staff withhold.
+    /// The backends that staff withhold.
     pub fn withheld(&self) -> Vec<String> {
         self.module.borrow().books().withheld().map(str::to_string).collect()
     }
@@ -306,7 +308,7 @@
         self.jobs.borrow().iter().filter(|(_, job)| job.standing).map(|(&id, _)| id).collect()
     }
 
-    /// Whether the attempt of that job that is out may still be written to its execute node.
+    /// Whether the attempt of that job that is out may still be written to its backend.
     pub fn may_begin(&self, id: RequestId) -> bool {
         self.module.borrow().books().may_begin(self.now(), id)
     }
--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -19,7 +19,7 @@
 pub struct Now {
     /// Jobs taken and not yet ended.
     pub jobs: usize,
-    /// Execute nodes in the machine list.
+    /// Backends in the machine list.
     pub listed: usize,
     /// Of these, the ones that the module avoids.
     pub avoided: usize,
@@ -31,7 +31,7 @@
     served: IntCounterVec,
     refused: IntCounterVec,
     failed: IntCounterVec,
-    claims: IntCounterVec,
+    attempts: IntCounterVec,
     jobs: IntGauge,
     listed: IntGauge,
     avoided: IntGauge,
@@ -56,7 +56,7 @@
             served: by_class("lb_success", "Connections brought up since the start.")?,
             refused: by_class("lb_overload", "Connections refused since the start.")?,
             failed: by_class("lb_error", "Connections failed since the start.")?,
-            claims: by_class("lb_dispatches", "Attempts written whole to label servers since the start.")?,
+            attempts: by_class("lb_dispatches", "Attempts written whole to label servers since the start.")?,
             jobs: gauge("lb_concurrent", "Connections taken and not yet ended.")?,
             listed: gauge("lb_targets", "Label servers in the list.")?,
             avoided: gauge("lb_targets_disabled", "Label servers in the list that get nothing new.")?,
@@ -79,9 +79,9 @@
         counter.with_label_values(&[self.name(class)]).inc();
     }
 
-    /// Counts a claim whose last byte was written.
-    pub fn claimed(&self, class: usize) {
-        self.claims.with_label_values(&[self.name(class)]).inc();
+    /// Counts an attempt whose last byte was written.
+    pub fn attempted(&self, class: usize) {
+        self.attempts.with_label_values(&[self.name(class)]).inc();
     }
 
     /// The figures as text.
@@ -104,7 +104,7 @@
         (0..3).for_each(|_| figures.ended(0, Final::Served));
         figures.ended(0, Final::Refused);
         figures.ended(usize::MAX, Final::Failed);
-        figures.claimed(0);
+        figures.attempted(0);
         let text = figures.text(Now { jobs: 2, listed: 5, avoided: 1 });
         let lines: Vec<&str> = text.lines().filter(|line| !line.starts_with('#')).collect();
         assert_eq!(
--- a/crates/proxy/src/front/lines.rs
+++ b/crates/proxy/src/front/lines.rs
@@ -115,7 +115,7 @@
     Word(&'a str, &'a str),
 }
 
-/// A word that an execute node may say, and what follows it.
+/// A word that a backend may say, and what follows it.
 fn said<'a>(input: &mut &'a str) -> Result<Said<'a>> {
     alt((
         preceded("LOAD ", float).map(Said::Load),
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -1,10 +1,10 @@
-//! The front: what a protocol towards clients and execute nodes has to provide.
+//! The front: what a protocol towards clients and backends has to provide.
 
 pub mod lines;
 
 use pierloom_decision::{BackendId, Micros, Request};
 
-/// What an execute node says in one line.
+/// What a backend says in one line.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
     /// The connection stands.
@@ -25,15 +25,15 @@
     Other,
 }
 
-/// A protocol between clients, this proxy and execute nodes.
+/// A protocol between clients, this proxy and backends.
 pub trait Front {
     /// Reads a client's first line.
     fn first(&self, line: &[u8]) -> First;
-    /// Reads a line of an execute node's.
+    /// Reads a line of a backend's.
     fn reply(&self, line: &[u8]) -> Reply;
     /// Reads a load report on a line of its own.
     fn report(&self, line: &[u8]) -> Vec<f64>;
-    /// Asks an execute node for its load.
+    /// Asks a backend for its load.
     fn load_query(&self) -> &'static [u8];
     /// The answer 'refused; come again after that time'.
     fn refusal(&self, wait: Option<Micros>) -> Vec<u8>;
@@ -63,8 +63,8 @@
     fn identity(&self) -> &str;
     /// How long the client waits for its answer.
     fn wait(&self) -> Micros;
-    /// The execute node that holds the connection already.
+    /// The backend that holds the connection already.
     fn standing_at(&self) -> Option<BackendId>;
-    /// What an execute node is sent, where this proxy waits so long for its answer.
+    /// What a backend is sent, where this proxy waits so long for its answer.
     fn for_node(&self, wait: Micros) -> Vec<u8>;
 }
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -1,6 +1,6 @@
 //! The life of one job, from its opening to its final answer or the end of its connection.
 
-use crate::claim::{self, Link};
+use crate::attempt::{self, Link};
 use crate::core::{Core, Order, Seat};
 use crate::figures::Final;
 use crate::front::{Front, Opening};
@@ -45,7 +45,7 @@
             () = core.deadlines.until(deadline + MARGIN / 2) => break None,
         };
         match order {
-            Order::Claim { node, until } => {
+            Order::Attempt { node, until } => {
                 seat.begin();
                 let (id, broke_off) = (seat.id, Cell::new(None));
                 // Guards against whatever came while it connected: a drain, the client's end, the end of a window
@@ -58,7 +58,7 @@
                 let attempt = tokio::select! {
                     biased;
                     left = breaks_off(&client) => return dismiss(&core, &*front, seat, client, left).await,
-                    attempt = claim::attempt(&core, &*front, core.address(&node), line, until, class) => attempt,
+                    attempt = attempt::make(&core, &*front, core.address(&node), line, until, class) => attempt,
                 };
                 if let Some(left) = broke_off.get() {
                     return dismiss(&core, &*front, seat, client, left).await;
@@ -157,7 +157,7 @@
     true
 }
 
-/// Takes up a connection again that stood before this proxy's start, at the execute node that holds it.
+/// Takes up a connection again that stood before this proxy's start, at the backend that holds it.
 async fn resume(
     core: &Rc<Core>,
     front: &dyn Front,
@@ -175,7 +175,7 @@
             || broken_off(&client).is_none().then(|| opening.for_node(until.saturating_sub(core.now())));
         let again_at = core.now() + RESUME_GAP;
         let attempt = async {
-            match claim::attempt(core, front, core.address(&node), line, until, class).await {
+            match attempt::make(core, front, core.address(&node), line, until, class).await {
                 Ok(link) => Some(link),
                 Err(_) => {
                     core.deadlines.until(again_at).await;
@@ -229,7 +229,7 @@
     }
 }
 
-/// Ends a job whose client did not wait; the claim is closed by now.
+/// Ends a job whose client did not wait; the attempt is closed by now.
 async fn dismiss(core: &Rc<Core>, front: &dyn Front, seat: Seat, client: TcpStream, how: BreaksOff) {
     let _owed = core.owe();
     // The module is told that the client is gone, as for it this one is either way.
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -9,7 +9,7 @@
 
 const SECOND: Micros = 1_000_000;
 
-/// What the machine list says of an execute node, as far as the ledger counts by it.
+/// What the machine list says of a backend, as far as the ledger counts by it.
 struct Node {
     zone: u16,
     /// When it last started; Unix time in microseconds, 0 for long ago.
@@ -173,7 +173,7 @@
             Cause::Silence => "moves_silent",
             Cause::Report => "moves_report",
             Cause::SetUp => "moves_set_up",
-            // Only leaving execute nodes are emptied by the clock.
+            // Only leaving backends are emptied by the clock.
             Cause::Other => "moves_leaving",
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,7 +2,7 @@
 //! The real proxy round the decision module: sockets, deadlines and bookkeeping, no decisions. It reaches its
 //! machine through [`pierloom_host::Host`] alone, so that it runs on any clock and any network.
 
-mod claim;
+mod attempt;
 pub mod config;
 mod console;
 mod core;
@@ -12,7 +12,7 @@
 mod job;
 mod ledger;
 mod listener;
-mod lobby;
+mod pending;
 mod probe;
 mod relay;
 mod reload;
@@ -42,7 +42,7 @@
 pub struct Parts {
     /// What decides.
     pub module: Box<dyn Decide>,
-    /// The protocol towards clients and execute nodes.
+    /// The protocol towards clients and backends.
     pub front: Rc<dyn Front>,
 }
 
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -1,11 +1,11 @@
-//! Takes clients in: the listener, the lobby of those without a job, and the bound on jobs.
+//! Takes clients in: the listener, pending connections, and the bound on jobs.
 
 use crate::config::Fault;
 use crate::core::Core;
 use crate::figures::Final;
 use crate::front::{First, Front, Opening};
 use crate::job;
-use crate::lobby::{Lobby, Place};
+use crate::pending::{Pending, Place};
 use crate::stream::{LONGEST_LINE, answer, first_line, read_line, write_all};
 use pierloom_decision::Micros;
 use pierloom_host::{Host, TcpListener, TcpStream};
@@ -21,8 +21,8 @@
 /// Descriptors of one job: both sides.
 const PER_JOB: usize = 2;
 /// Part of all descriptors, and the least number, for clients without a job: not heard yet, or sent away.
-const LOBBY_PART: usize = 8;
-const LOBBY_LEAST: usize = 16;
+const PENDING_PART: usize = 8;
+const PENDING_LEAST: usize = 16;
 /// How long one that finds no room is told to stay away: some jobs end meanwhile; microseconds.
 const NO_ROOM: Micros = 1_000_000;
 /// From connecting, a client has this long to open its job: half of what it is owed a word in; microseconds.
@@ -48,7 +48,7 @@
     changed: Notify,
     /// Those being told the last who have no place any more.
     parting: Cell<usize>,
-    lobby: Rc<Lobby>,
+    pending: Rc<Pending>,
     /// A descriptor to give up when there is none left to accept with.
     spare: RefCell<Option<Box<dyn Any>>>,
 }
@@ -61,7 +61,7 @@
 
     /// For as many jobs as `sockets` descriptors allow once `reserved` are taken for other ends.
     pub fn new(host: &Host, listener: TcpListener, sockets: usize, reserved: usize) -> Self {
-        let places = (sockets / LOBBY_PART).max(LOBBY_LEAST);
+        let places = (sockets / PENDING_PART).max(PENDING_LEAST);
         let most = (sockets.saturating_sub(RESERVED + places + reserved) / PER_JOB).max(1);
         let spare = RefCell::new(host.spare_descriptor());
         Listener {
@@ -71,7 +71,7 @@
             closed: Cell::new(false),
             changed: Notify::new(),
             parting: Cell::new(0),
-            lobby: Lobby::new(places),
+            pending: Pending::new(places),
             spare,
         }
     }
@@ -126,7 +126,7 @@
     /// Accepts for ever; each client is a task of its own, where a panic stays.
     pub async fn serve(self: Rc<Self>, core: Rc<Core>, front: Rc<dyn Front>) {
         loop {
-            let place = self.lobby.enter(&core).await;
+            let place = self.pending.enter(&core).await;
             match self.accept().await {
                 Ok(stream) => {
                     let (host, core, front) = (core.host.clone(), core.clone(), front.clone());
@@ -182,7 +182,7 @@
 }
 
 impl Listener {
-    /// Hears a client, which has a place in the lobby meanwhile; its job, if it has one and there is room.
+    /// Hears a client, which is pending meanwhile; its job, if it has one and there is room.
     async fn receive(
         self: &Rc<Self>,
         core: &Rc<Core>,
--- a/crates/proxy/src/lobby.rs
+++ b/crates/proxy/src/pending.rs
@@ -1,4 +1,4 @@
-//! The lobby: connections of which nothing whole was heard yet, bounded, so that those who say nothing keep nobody out.
+//! Pending connections: those of which nothing whole was heard yet, bounded, so that those who say nothing keep nobody out.
 
 use crate::core::Core;
 use pierloom_decision::Micros;
@@ -11,7 +11,7 @@
 const LEAST_HEARING: Micros = 20_000;
 
 /// Connections not heard yet. Where they are too many, the one that has been there longest makes room for the next.
-pub struct Lobby {
+pub struct Pending {
     most: usize,
     next: Cell<u64>,
     /// Since when each is there, and what rings when its place is wanted.
@@ -20,9 +20,9 @@
     left: Notify,
 }
 
-impl Lobby {
+impl Pending {
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Lobby { most, next: Cell::new(0), there: RefCell::default(), left: Notify::new() })
+        Rc::new(Pending { most, next: Cell::new(0), there: RefCell::default(), left: Notify::new() })
     }
 
     /// Waits for a place.
@@ -40,13 +40,13 @@
         }
         let (number, wanted) = (self.next.replace(self.next.get() + 1), Rc::new(Notify::new()));
         self.there.borrow_mut().insert(number, (core.now(), wanted.clone()));
-        Place { lobby: self.clone(), number, wanted }
+        Place { pending: self.clone(), number, wanted }
     }
 }
 
-/// A place in the lobby, free again when this is dropped.
+/// A place in the pending, free again when this is dropped.
 pub struct Place {
-    lobby: Rc<Lobby>,
+    pending: Rc<Pending>,
     number: u64,
     wanted: Rc<Notify>,
 }
@@ -60,7 +60,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.lobby.there.borrow_mut().remove(&self.number);
-        self.lobby.left.notify_one();
+        self.pending.there.borrow_mut().remove(&self.number);
+        self.pending.left.notify_one();
     }
 }
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -1,4 +1,4 @@
-//! Probes of execute nodes, each on a connection kept for the next one.
+//! Probes of backends, each on a connection kept for the next one.
 
 use crate::core::Core;
 use crate::front::{Front, Reply};
@@ -18,7 +18,7 @@
 /// Connections kept at most: they come out of the descriptors that are reserved beside jobs.
 const MOST_KEPT: usize = 16;
 
-/// Connections to execute nodes that no probe uses now, the one used last at the end.
+/// Connections to backends that no probe uses now, the one used last at the end.
 #[derive(Default)]
 struct Kept(RefCell<VecDeque<(BackendId, SocketAddr, TcpStream)>>);
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,6 +1,6 @@
-//! The relay of lines between a client and an execute node, once a claim is up, and polite endings.
+//! The relay of lines between a client and a backend, once an attempt is up, and polite endings.
 
-use crate::claim::{Cause, Ending, Link, Reach};
+use crate::attempt::{Cause, Ending, Link, Reach};
 use crate::core::{Core, Order, Seat};
 use crate::front::{Front, Reply};
 use crate::stream::{ENDING, LONGEST_LINE, answer};
@@ -13,7 +13,7 @@
 
 /// A message without its answer is reported this often; microseconds.
 const SILENT_STEP: Micros = 1_000_000;
-/// An execute node that stops within a line gets this long to finish it before a move; microseconds.
+/// A backend that stops within a line gets this long to finish it before a move; microseconds.
 const HALF_LINE: Micros = 2_000_000;
 /// As much of a line as tells what it says; bytes.
 const HEAD: usize = 64;
@@ -86,10 +86,10 @@
     }
 }
 
-/// What is under way between a client and an execute node: all that another process needs to go on.
+/// What is under way between a client and a backend: all that another process needs to go on.
 #[derive(Default, Deserialize, Serialize)]
 pub struct Flow {
-    /// From the client to the execute node, and back.
+    /// From the client to the backend, and back.
     up: Pipe,
     down: Pipe,
     up_lines: Lines,
@@ -112,7 +112,7 @@
     Parted(Standing),
 }
 
-/// A connection that is up, between a client and an execute node.
+/// A connection that is up, between a client and a backend.
 struct Relay<'a> {
     core: &'a Core,
     front: &'a dyn Front,
@@ -120,9 +120,9 @@
     node_id: &'a BackendId,
     flow: Flow,
     next_silent: Micros,
-    /// The client does not take what it is sent, so that nothing more is read from the execute node.
+    /// The client does not take what it is sent, so that nothing more is read from the backend.
     stalled: bool,
-    /// The last thing that the execute node said of the end.
+    /// The last thing that the backend said of the end.
     said: Option<Reply>,
     /// When a move was first wanted.
     move_wanted: Option<Micros>,
@@ -147,7 +147,7 @@
         });
     }
 
-    /// Books the lines that passed from the execute node.
+    /// Books the lines that passed from the backend.
     fn went_down(&mut self) {
         let (now, front, waiting, said) =
             (self.core.now(), self.front, &mut self.flow.waiting, &mut self.said);
@@ -192,7 +192,7 @@
 
     /// Passes on what is there, both ways; an error is a reset of that side.
     fn pass(&mut self, client: &TcpStream, node: &TcpStream) -> Result<(), Broke> {
-        // Down first: what an execute node said before it closed is still there to read, and a write to it fails.
+        // Down first: what a backend said before it closed is still there to read, and a write to it fails.
         // After the last word nothing may follow.
         if !self.farewell && self.flow.down.read(node).map_err(|_| Broke::Node)? > 0 {
             self.went_down();
@@ -205,7 +205,7 @@
         self.flow.up.write(node).map_err(|_| Broke::Node)
     }
 
-    /// Guards against blaming an execute node for a client that does not read: what the node says lies unread
+    /// Guards against blaming a backend for a client that does not read: what the node says lies unread
     /// meanwhile, and its time to answer begins anew after that.
     fn note_stall(&mut self) {
         let stalled = !self.flow.down.buffer.is_empty();
@@ -217,7 +217,7 @@
         }
     }
 
-    /// Why the claim ended, once one side has.
+    /// Why the attempt ended, once one side has.
     fn cause(&mut self) -> Cause {
         match self.said.take() {
             Some(said) => Cause::Said(said),
@@ -310,7 +310,7 @@
         if let Some(wanted) = relay.move_wanted.filter(|_| relay.ended_at.is_none()) {
             let between = relay.flow.down.buffer.is_empty() && !relay.flow.down_lines.within;
             if between && !relay.farewell {
-                // The execute node is let go only when the word is out: a client that reads late gets it late.
+                // The backend is let go only when the word is out: a client that reads late gets it late.
                 relay.farewell = true;
                 relay.flow.down.buffer.extend_from_slice(front.farewell());
                 continue;
@@ -327,7 +327,7 @@
         if now >= relay.look_at() {
             relay.silent();
         }
-        let at_submitter = Interest {
+        let at_client = Interest {
             read: !relay.flow.up.ended && relay.flow.up.buffer.is_empty(),
             write: !relay.flow.down.buffer.is_empty(),
         };
@@ -338,7 +338,7 @@
         let look_at = relay.look_at();
         tokio::select! {
             biased;
-            () = client.ready(at_submitter) => {}
+            () = client.ready(at_client) => {}
             () = node.ready(at_node) => {}
             order = relay.seat.orders.recv() => match order {
                 Some(Order::Move) => drop(relay.move_wanted.get_or_insert(core.now())),
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -14,7 +14,7 @@
 /// Before the kill, all moves are under way this early, and the process ends this early; microseconds.
 const MOVED_EARLY: Micros = 1_100_000;
 const ENDED_EARLY: Micros = 250_000;
-/// Before its end, the process has this long for the answers to claims given up; microseconds.
+/// Before its end, the process has this long for the answers to attempts given up; microseconds.
 const LAST_WORDS: Micros = 200_000;
 /// After the last moves, it looks this often for connections that came up since; microseconds.
 const LAST_STEP: Micros = 50_000;
@@ -43,7 +43,7 @@
         core.deadlines.until((core.now() + gap).min(last_move)).await;
     }
     // Whoever is not served by now is free to go elsewhere while there is time: the module says with which answer. A
-    // claim that is out may still bring its connection up: that one is moved too, and what is out at the very end is
+    // attempt that is out may still bring its connection up: that one is moved too, and what is out at the very end is
     // given up.
     core.stop();
     let last_words = kill - ENDED_EARLY - LAST_WORDS;
--- a/crates/proxy/src/source/mod.rs
+++ b/crates/proxy/src/source/mod.rs
@@ -1,3 +1,3 @@
-//! What tells of execute nodes.
+//! What tells of backends.
 
 pub mod discovery;
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -41,11 +41,11 @@
     Taken,
     /// The old one accepts no more.
     Released,
-    /// Staff withhold an execute node, or (false) gave it back.
+    /// Staff withhold a backend, or (false) gave it back.
     Withheld(String, bool),
     /// The old one holds so many jobs.
     Jobs(usize),
-    /// A connection that stands, with its sockets: the client's, then the execute node's.
+    /// A connection that stands, with its sockets: the client's, then the backend's.
     Connection(Connection, Flow),
     /// The new one holds the connection that came last, or (false) cannot.
     Holds(bool),
@@ -163,7 +163,7 @@
         self.core.tell(Event::Withheld(BackendId::from(node), withheld));
     }
 
-    /// Has an execute node withheld, or gives it back; false where nobody has it. It is written down, and told to the
+    /// Has a backend withheld, or gives it back; false where nobody has it. It is written down, and told to the
     /// process beside this one, before the yes.
     pub fn withhold(&self, node: &str, withheld: bool) -> bool {
         if !self.core.knows(node) {
