--- a/crates/pierloom/tests/upgrade.rs
+++ b/crates/pierloom/tests/upgrade.rs
@@ -4,7 +4,11 @@
 #[allow(dead_code)] // each test program uses its part
 mod world;
 
-use std::io::{BufRead, BufReader, Write};
+use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
+use std::io::{BufRead, BufReader, IoSlice, Write};
+use std::mem::MaybeUninit;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::thread;
 use world::{Folder, Node, Peer, Proxy, call, figure};
@@ -276,3 +280,63 @@
     drop((standing, late, at_node));
     assert!(old.exit().success());
 }
+
+/// Says a word to the process beside, with these sockets.
+fn say_with(to: &UnixStream, word: &str, sockets: &[BorrowedFd<'_>]) {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+    let mut rights = SendAncillaryBuffer::new(&mut space);
+    assert!(rights.push(SendAncillaryMessage::ScmRights(sockets)));
+    let sent = sendmsg(to, &[IoSlice::new(word.as_bytes())], &mut rights, SendFlags::NOSIGNAL).unwrap();
+    assert_eq!(sent, word.len());
+}
+
+/// Both ends of a connection: the one that a process is handed, and the one that stays with its peer.
+fn connection() -> (TcpStream, Peer) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (listener.accept().unwrap().0, Peer::new(peer))
+}
+
+// Guards a connection whose sockets were sent by a process that was killed before it heard that they had come: nobody
+// else holds it any more. The words are those of a real process; the one that is killed is played here, so that it is
+// gone before the next one can answer.
+#[test]
+fn a_connection_whose_old_process_dies_over_the_hand_over_goes_on_in_the_new_one() {
+    let (first, node) = (Folder::new("says"), Node::new("n1"));
+    let (old, console) = Proxy::start_in(&first, None, &[node.entry("ready")]);
+    yes(console);
+    let _standing = all_at(&old, &node, "a", 1);
+    let mut next = UnixStream::connect(first.file("pierloom-p0.sock")).unwrap();
+    let mut words = BufReader::new(next.try_clone().unwrap());
+    next.write_all(b"\"taken\"\n").unwrap();
+    let mut word = || {
+        let mut word = String::new();
+        words.read_line(&mut word).unwrap();
+        word
+    };
+    let state = word();
+    while !word().contains("released") {}
+    old.signal("-TERM");
+    let connection_word = std::iter::repeat_with(&mut word).find(|word| word.contains("connection")).unwrap();
+    let folder = Folder::new("killed");
+    let offers = UnixListener::bind(folder.file("pierloom-p0.sock")).unwrap();
+    let taken_over = TcpListener::bind("127.0.0.1:0").unwrap();
+    let ((client_end, mut client), (node_end, mut at_node)) = (connection(), connection());
+    let played = thread::spawn(move || {
+        let (mut asked, _) = offers.accept().unwrap();
+        say_with(&asked, &state, &[taken_over.as_fd()]);
+        let mut words = BufReader::new(asked.try_clone().unwrap());
+        let mut taken = String::new();
+        words.read_line(&mut taken).unwrap();
+        assert_eq!(taken, "\"taken\"\n");
+        asked.write_all(b"\"released\"\n").unwrap();
+        say_with(&asked, &connection_word, &[client_end.as_fd(), node_end.as_fd()]);
+    });
+    let (_new, console) = Proxy::start_in(&folder, None, &[node.entry("ready")]);
+    yes(console);
+    played.join().unwrap();
+    client.send("m\r\n");
+    assert_eq!(at_node.line(), "m\r\n");
+    at_node.send("m back\r\n");
+    assert_eq!(client.line(), "m back\r\n");
+}
