--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -42,7 +42,7 @@
         standing.into_iter().take(share).for_each(|id| core.order(id, Order::Move));
         core.deadlines.until((core.now() + gap).min(last_move)).await;
     }
-    // Whoever is not served by now is free to go elsewhere while there is time: the module says with which answer. A
+    // Whoever is not served by now is free to go elsewhere while there is time: the module says with which answer. An
     // attempt that is out may still bring its connection up: that one is moved too, and what is out at the very end is
     // given up.
     core.stop();
