A reload reads the old discovery on until the new one answers; an odd entry harms no other

By reading, as ways into requests at servers that leave: SIGHUP dropped the call to the old discovery, so that what was written there in that moment was lost, while the new one's first answer waits its turn for seconds; and a list with one entry that could not be read was thrown away whole, with all it said of others who leave.

Now the call to the old discovery is read on, and goes on as a watch, until the new one has answered (`Follower::sort`); an entry that cannot be read leaves who it names as before and is named in the log (`List::from`).

The rule itself counted an answer to an older call as the last one where a later call was out that carries the watch on; it goes by the number of the call now, as strict for whoever has but one.

--- a/crates/pierloom/tests/bad_input.rs
+++ b/crates/pierloom/tests/bad_input.rs
@@ -6,7 +6,7 @@
 mod world;
 
 use std::time::Duration;
-use world::{LONG, Node, Plugged, Proxy, SETTINGS, config_file, http, program};
+use world::{LONG, Node, Plugged, Proxy, SETTINGS, config_file, http, program, until};
 
 /// Answers the next call with that list and waits for the call after it; its version.
 fn told(proxy: &Proxy, body: &str) -> u64 {
@@ -46,6 +46,42 @@
     proxy.connect("c", &nodes[1]);
 }
 
+// Guards against a list that is thrown away for one entry: what it says of others who leave counts as told.
+#[test]
+fn an_entry_that_cannot_be_read_harms_no_other() {
+    let nodes = [Node::new("n0"), Node::new("n1")];
+    for (i, odd) in [
+        r#"{"name":7,"status":"ready"}"#,
+        r#"{"name":"x","status":"vanished"}"#,
+        r#"{"name":"x","address":"127.0.0.1:1","status":"ready","since_ms":-1}"#,
+        "null",
+        "[[]]",
+    ]
+    .iter()
+    .enumerate()
+    {
+        let proxy = Proxy::start(&format!("entry{i}"), &[&nodes[0], &nodes[1]]);
+        let (mut client, _at_node) = proxy.connect_any("k", &nodes);
+        proxy.list.calls.recv_timeout(LONG).unwrap();
+        let leaving = nodes.each_ref().map(|node| node.entry("draining")).join(",");
+        let changes = format!(r#"{{"index":9,"snapshot":false,"endpoints":[{odd},{leaving}]}}"#);
+        proxy.list.spoil(http(&changes, changes.len()));
+        assert_eq!(client.line(), "MOVE\r\n", "{odd}");
+        // Whole, with the odd one for a node that is known: that one stays as it was, and the other one is used.
+        let known = nodes[0].entry("vanished");
+        let whole = format!(
+            r#"{{"index":10,"snapshot":true,"endpoints":[{odd},{known},{}]}}"#,
+            nodes[1].entry("ready")
+        );
+        proxy.list.spoil(http(&whole, whole.len()));
+        assert_eq!(proxy.list.calls.recv_timeout(LONG).unwrap().from, 9);
+        let served = || proxy.open("k2").line_within(Duration::from_millis(50)).is_none().then_some(());
+        until(served).expect("an attempt");
+        nodes[1].opened();
+        assert!(nodes[0].untouched(), "{odd}");
+    }
+}
+
 // Stated: an answer that is cut, longer than a line may be, no line of the protocol, or says two things counts as a
 // broken or failed attempt; what came behind the last word of a failed one is dropped with its connection.
 #[test]
--- a/crates/pierloom/tests/leaving.rs
+++ b/crates/pierloom/tests/leaving.rs
@@ -89,6 +89,28 @@
     assert!(nodes[0].untouched());
 }
 
+// Guards against what the discovery before still writes while the new one has not answered.
+#[test]
+fn a_reload_does_not_lose_what_the_old_discovery_tells_meanwhile() {
+    let (nodes, old) = (nodes(), MachineList::new());
+    let mut proxies = fleet("moved", &old, &nodes);
+    let standing: Vec<_> = proxies.iter().map(|proxy| proxy.connect_any("k", &nodes)).collect();
+    (0..3).for_each(|_| assert!(old.calls.recv_timeout(LONG).is_ok()));
+    for proxy in &mut proxies {
+        let new = MachineList::new();
+        new.make_wait(Duration::from_secs(3));
+        new.tell(&nodes[0].entry("ready"));
+        proxy.turn_to(new);
+    }
+    proxies.iter().for_each(|proxy| proxy.list.reached());
+    let made = Instant::now();
+    nodes.iter().for_each(|node| old.tell(&node.entry("draining")));
+    for (mut client, _at_node) in standing {
+        let before_the_new_one = Duration::from_secs(2).saturating_sub(made.elapsed());
+        assert_eq!(client.line_within(before_the_new_one).as_deref(), Some("MOVE\r\n"));
+    }
+}
+
 // Guards against a fleet that serves nobody while discovery is not there at all: that binds nobody.
 #[test]
 fn a_discovery_that_is_not_there_stops_nobody() {
--- a/crates/pierloom/tests/world/mod.rs
+++ b/crates/pierloom/tests/world/mod.rs
@@ -298,6 +298,11 @@
         self.told.1.notify_all();
     }
 
+    /// Waits until somebody connects.
+    pub fn reached(&self) {
+        until(|| (self.told.0.lock().unwrap().accepted > 0).then_some(())).expect("a connection");
+    }
+
     /// Works through the calls of others for so long before each call that opens a watch.
     pub fn make_wait(&self, turn: Duration) {
         self.told.0.lock().unwrap().turn = turn;
@@ -443,6 +448,7 @@
         let mut command = program(&["serve"]);
         command.env("LB_DISCOVERY", discovery.to_string());
         let entries: Vec<String> = nodes.iter().map(|node| node.entry("ready")).collect();
+        // What its config names comes into force with a reload.
         Proxy::start_command(command, name, 1024, &entries, SETTINGS)
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -70,8 +70,8 @@
     let inherited = upgrades.take_over().await;
     let list = inherited.as_ref().map_or(config.known, |inherited| inherited.list.list());
     let roster = Rc::new(RefCell::new(Roster::default()));
-    discovery::enter(&core, &names, &roster, &list, ListKind::Full);
     let known = Cell::new(Some(list.index()));
+    discovery::enter(&core, &names, &roster, list, ListKind::Full);
     // Before anyone can know of this proxy: a signal without its handler would end it.
     let signals = |which| host.signals(which).map_err(|e| format!("signals: {e}"));
     let (hangups, terminations) = (signals(Signal::Hangup)?, signals(Signal::Terminate)?);
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -8,12 +8,13 @@
 use hyper_util::rt::TokioIo;
 use pierloom_decision::{Event, ListKind, Member, MemberState, Micros};
 use pierloom_wire::Names;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
 use tokio::sync::watch;
@@ -63,14 +64,50 @@
     since_ms: u64,
 }
 
+/// An entry as it comes: one that cannot be read harms no other.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Entry {
+    Whole(Endpoint),
+    Odd {
+        #[serde(default)]
+        name: String,
+    },
+    Nonsense(IgnoredAny),
+}
+
 /// An answer of discovery's.
 #[derive(Deserialize, Default)]
+#[serde(from = "Told")]
 pub struct List {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<Endpoint>,
+    /// Who has an entry that cannot be read.
+    odd: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Told {
     index: u64,
     #[serde(default)]
     snapshot: bool,
     #[serde(default)]
-    endpoints: Vec<Endpoint>,
+    endpoints: Vec<Entry>,
+}
+
+impl From<Told> for List {
+    fn from(told: Told) -> Self {
+        let mut list = List { index: told.index, snapshot: told.snapshot, ..List::default() };
+        for entry in told.endpoints {
+            match entry {
+                Entry::Whole(endpoint) => list.endpoints.push(endpoint),
+                Entry::Odd { name } => list.odd.push(name),
+                Entry::Nonsense(_) => list.odd.push(String::new()),
+            }
+        }
+        list
+    }
 }
 
 impl Endpoint {
@@ -114,13 +151,20 @@
 
     /// As discovery would tell it whole.
     pub fn list(&self) -> List {
-        List { index: self.index, snapshot: true, endpoints: self.endpoints.values().cloned().collect() }
+        let endpoints = self.endpoints.values().cloned().collect();
+        List { index: self.index, snapshot: true, endpoints, odd: Vec::new() }
     }
 }
 
-/// Hands a list to the core: the addresses first, so that whatever the module picks can be dialled.
-pub fn enter(core: &Core, names: &Names, roster: &RefCell<Roster>, list: &List, kind: ListKind) {
-    roster.borrow_mut().enter(list, kind);
+/// Hands a list to the core: the addresses first, so that whatever the module picks can be dialled. An entry that cannot
+/// be read leaves who it names as before.
+pub fn enter(core: &Core, names: &Names, roster: &RefCell<Roster>, mut list: List, kind: ListKind) {
+    for name in &list.odd {
+        tracing::warn!(target: "machine_list", "{name:?} has an entry that cannot be read");
+        let before = roster.borrow().endpoints.get(name).cloned();
+        list.endpoints.extend(before.filter(|_| kind == ListKind::Full));
+    }
+    roster.borrow_mut().enter(&list, kind);
     for endpoint in &list.endpoints {
         match endpoint.address.parse() {
             Ok(address) => core.set_address(endpoint.name.as_str().into(), address),
@@ -154,10 +198,11 @@
     }
 }
 
-/// What a call brought, and the connection that it came on.
+/// What a call brought, from which discovery, and the connection that it came on.
 struct Answer {
     list: List,
     whole: bool,
+    discovery: SocketAddr,
     sender: Sender,
 }
 
@@ -213,10 +258,10 @@
         // A fleet that left all at once would be told as gone, machine by machine.
         return Err(Failure::after("answered", "a whole list that names nobody"));
     }
-    Ok(Answer { list, whole, sender })
+    Ok(Answer { list, whole, discovery, sender })
 }
 
-/// Calls that were late and may be answered yet, each with when it began.
+/// Calls that were late, or went to the discovery before, and may be answered yet, each with when it began.
 #[derive(Default)]
 struct Late<'a>(Vec<(Micros, Calling<'a>)>);
 
@@ -232,90 +277,148 @@
                     false
                 }
             });
-            answer.map_or(Poll::Pending, Poll::Ready)
+            answer.take().map_or(Poll::Pending, Poll::Ready)
         })
         .await
     }
 }
 
+/// What a wait for discovery came to.
+enum Came {
+    Answer(Answer),
+    Failure(Failure),
+    /// Discovery is elsewhere now.
+    Moved,
+    /// It is time for another call.
+    Again,
+}
+
+/// Whoever follows a discovery, and how far.
+struct Follower<'a> {
+    core: &'a Core,
+    names: &'a Names,
+    roster: &'a RefCell<Roster>,
+    moves: watch::Receiver<SocketAddr>,
+    discovery: SocketAddr,
+    /// The version seen last; none before a list of this discovery's.
+    from: Option<u64>,
+    kept: Option<Sender>,
+    late: Late<'a>,
+}
+
 /// Follows discovery wherever it is: from the known version on once the module asks, else with the whole list
-/// at once. Another discovery is asked for the whole list at once too; the call to the old one and its
-/// connection are dropped, and what is left of a back-off with them.
+/// at once. Another discovery is asked for the whole list at once too, whatever is left of a back-off.
+///
+/// Where the list must be asked for, whether and when to ask again is the module's to say; where it is pushed, what the
+/// agent beside this proxy has binds whether or not a watch is open, so that one is opened at the start and soon after
+/// each that ended.
+///
+/// A call that is late counts as failed and another one follows, but its connection is read on until one is answered, as
+/// is that of a call to the discovery before: what is written there counts as told. And a call that is given up takes its
+/// turn at discovery all the same: a fleet that gave up its calls while they waited their turns would keep discovery busy
+/// with calls that nobody hears.
 pub async fn watch(
     core: Rc<Core>,
     names: Rc<Names>,
     roster: Rc<RefCell<Roster>>,
-    mut discovery: watch::Receiver<SocketAddr>,
-    mut known: Option<u64>,
+    mut moves: watch::Receiver<SocketAddr>,
+    from: Option<u64>,
 ) {
+    let discovery = *moves.borrow_and_update();
+    let (core, names, roster) = (&*core, &*names, &*roster);
+    let (kept, late) = (None, Late::default());
+    let mut follower = Follower { core, names, roster, moves, discovery, from, kept, late };
+    let asked_first = from.is_some() && core.settings().ask_for_list;
+    let mut came = if asked_first { follower.pause().await } else { Came::Again };
     loop {
-        let address = *discovery.borrow_and_update();
-        tokio::select! {
-            biased;
-            () = follow(&core, &names, &roster, address, known.take()) => {}
-            // An error is the end of the process.
-            _ = discovery.changed() => {}
+        came = match came {
+            Came::Answer(answer) => {
+                follower.enter(answer);
+                follower.call().await
+            }
+            Came::Failure(Failure { reached, why }) => {
+                tracing::warn!(target: "machine_list", "a call failed: {why}");
+                core.forget_asked();
+                let kind = if reached { ListKind::Failed } else { ListKind::Unreached };
+                core.tell(Event::Members { kind, members: [].into() });
+                follower.pause().await
+            }
+            Came::Moved => {
+                (follower.from, follower.kept) = (None, None);
+                follower.discovery = *follower.moves.borrow_and_update();
+                follower.call().await
+            }
+            Came::Again => follower.call().await,
         }
     }
 }
 
-/// Watches for as long as calls succeed. Where the list must be asked for, whether and when to ask again is the module's
-/// to say; where it is pushed, what the agent beside this proxy has binds whether or not a watch is open, so that one is
-/// opened at the start and soon after each that ended.
-///
-/// A call that is late counts as failed and another one follows, but its connection is read on until one is answered:
-/// what discovery writes there counts as told. And a call that is given up takes its turn at discovery all the same: a
-/// fleet that gave up its calls while they waited their turns would keep discovery busy with calls that nobody hears.
-async fn follow(
-    core: &Core,
-    names: &Names,
-    roster: &RefCell<Roster>,
-    discovery: SocketAddr,
-    mut from: Option<u64>,
-) {
-    let (mut kept, mut late): (Option<Sender>, Late) = (None, Late::default());
-    let pushed = !core.settings().ask_for_list;
-    if from.is_some() && !pushed {
-        core.asked().await;
+impl<'a> Follower<'a> {
+    /// Enters what the discovery that is followed told.
+    fn enter(&mut self, Answer { list, whole, sender, .. }: Answer) {
+        (self.from, self.kept, self.late) = (Some(list.index), Some(sender), Late::default());
+        enter(self.core, self.names, self.roster, list, if whole { ListKind::Full } else { ListKind::Delta });
     }
-    loop {
-        let open = kept.take().filter(|sender| !sender.is_closed());
+
+    /// What came on a call that was late: the answer, if the discovery that is followed gave it. The one before is
+    /// watched on where it still answers, until the new one does.
+    fn sort(&mut self, answer: Answer) -> Option<Answer> {
+        if answer.discovery == self.discovery {
+            return Some(answer);
+        }
+        let Answer { list, whole, discovery, sender } = answer;
+        let (core, index) = (self.core, list.index);
+        enter(core, self.names, self.roster, list, if whole { ListKind::Full } else { ListKind::Delta });
+        let goes_on = Box::pin(call(core, Some(sender), discovery, Some(index)));
+        self.late.0.push((core.now(), goes_on));
+        None
+    }
+
+    /// Makes a call. Where one that was late is answered first, the watch goes on there: there is no need of this one.
+    async fn call(&mut self) -> Came {
+        let (core, began) = (self.core, self.core.now());
+        let open = self.kept.take().filter(|sender| !sender.is_closed());
         let patience = if open.is_some() { HOLD_MS * 1_000 + SLACK } else { TURN };
-        let (began, mut calling) = (core.now(), Box::pin(call(core, open, discovery, from)));
-        let mut answer = tokio::select! {
-            biased;
-            answer = &mut calling => answer,
-            // The watch goes on where it is open now; there is no need of the newer call.
-            answer = late.answer() => Ok(answer),
-            () = core.deadlines.until(began + patience) => {
-                late.0.retain(|(began, _)| core.now() < began + core.settings().ask_within);
-                late.0.push((began, calling));
-                Err(Failure::after("asked, no answer", format!("within {} ms", patience / 1_000)))
+        let mut calling: Calling<'a> = Box::pin(call(core, open, self.discovery, self.from));
+        let mut overdue = pin!(core.deadlines.until(began + patience));
+        let came = loop {
+            tokio::select! {
+                biased;
+                answer = &mut calling => return answer.map_or_else(Came::Failure, Came::Answer),
+                answer = self.late.answer() => if let Some(answer) = self.sort(answer) {
+                    return Came::Answer(answer);
+                },
+                Ok(()) = self.moves.changed() => break Came::Moved,
+                () = &mut overdue => {
+                    let why = format!("within {} ms", patience / 1_000);
+                    break Came::Failure(Failure::after("asked, no answer", why));
+                }
             }
         };
-        if let Err(Failure { reached, why }) = &answer {
-            tracing::warn!(target: "machine_list", "a call failed: {why}");
-            core.forget_asked();
-            let kind = if *reached { ListKind::Failed } else { ListKind::Unreached };
-            core.tell(Event::Members { kind, members: [].into() });
-            let pause = async {
-                match pushed {
-                    true => core.deadlines.until(core.now() + PUSHED_PAUSE).await,
-                    false => core.asked().await,
-                }
-            };
+        self.late.0.retain(|(began, _)| core.now() < began + core.settings().ask_within);
+        self.late.0.push((began, calling));
+        came
+    }
+
+    /// Waits until it is time for another call.
+    async fn pause(&mut self) -> Came {
+        let core = self.core;
+        let mut again = pin!(async {
+            match core.settings().ask_for_list {
+                true => core.asked().await,
+                false => core.deadlines.until(core.now() + PUSHED_PAUSE).await,
+            }
+        });
+        loop {
             tokio::select! {
                 biased;
-                after_all = late.answer() => answer = Ok(after_all),
-                () = pause => {}
+                answer = self.late.answer() => if let Some(answer) = self.sort(answer) {
+                    return Came::Answer(answer);
+                },
+                Ok(()) = self.moves.changed() => return Came::Moved,
+                () = &mut again => return Came::Again,
             }
         }
-        if let Ok(Answer { list, whole, sender }) = answer {
-            late = Late::default();
-            kept = Some(sender);
-            from = Some(list.index);
-            enter(core, names, roster, &list, if whole { ListKind::Full } else { ListKind::Delta });
-        }
     }
 }
 
--- a/crates/world/src/observer.rs
+++ b/crates/world/src/observer.rs
@@ -257,6 +257,8 @@
     answer: Vec<u8>,
     /// The call that is out asks for the whole list.
     whole: bool,
+    /// Its number among the calls of that proxy.
+    number: u64,
 }
 
 enum Kind {
@@ -282,6 +284,8 @@
     /// Since when each execute node runs, as it was told.
     starts: BTreeMap<usize, Micros>,
     answered_at: Option<Micros>,
+    /// Calls to discovery so far.
+    called: u64,
     /// When it last asked discovery, or started or was told where discovery is.
     asked_at: Micros,
     calls: VecDeque<Micros>,
@@ -965,6 +969,8 @@
         }
         let index = call.proxy;
         let proxy = &mut self.proxies[index];
+        proxy.called += 1;
+        call.number = proxy.called;
         let since = proxy.answered_at.take();
         for times in [&mut proxy.calls, &mut proxy.changes] {
             while times.front().is_some_and(|at| at + 1_000_000 < now) {
@@ -998,6 +1004,7 @@
             return;
         }
         let (good, index, whole) = (text.starts_with("http/1.1 200"), call.proxy, call.whole);
+        let number = call.number;
         let body = call.answer.split_off(head + 4);
         call.answer.clear();
         if !good {
@@ -1005,7 +1012,10 @@
         }
         let Ok(list) = serde_json::from_slice::<Told>(&body[..length]) else { return };
         let proxy = &mut self.proxies[index];
-        proxy.answered_at = Some(now);
+        // Where a later call is out, that one carries the watch on; once it is answered, the next is due.
+        if number == proxy.called {
+            proxy.answered_at = Some(now);
+        }
         if !list.endpoints.is_empty() {
             proxy.changes.push_back(now);
         }
