--- a/crates/decision/src/experience.rs
+++ b/crates/decision/src/experience.rs
@@ -32,6 +32,9 @@
     arrival_rate: f64,
     p: f64,
     turns: Vec<(Micros, f64)>,
+    /// When the list was last told, which goes with it; none from a version that did not say so.
+    #[serde(default)]
+    told_at: Option<Micros>,
     backends: BTreeMap<String, Known>,
 }
 
@@ -62,6 +65,7 @@
             arrival_rate: self.admission.arrival_rate,
             p: self.admission.p,
             turns: self.turns.iter().copied().collect(),
+            told_at: Some(self.news.told_at),
             backends: self.index.iter().map(|(name, &i)| (name.to_string(), known(i))).collect(),
         }
     }
@@ -71,6 +75,8 @@
         self.started = learned.since.or(self.started);
         self.set_ups += learned.set_ups;
         self.turns = learned.turns.into();
+        // Guards against an old list that counts as told anew because another process holds it.
+        self.news.told_at = learned.told_at.unwrap_or(self.news.told_at);
         let admission = &mut self.admission;
         (admission.width, admission.slices, admission.p) = (learned.width, learned.slices, learned.p);
         admission.least_delay = learned.least_delay.unwrap_or(f64::INFINITY);
--- a/crates/decision/src/news.rs
+++ b/crates/decision/src/news.rs
@@ -7,7 +7,7 @@
 #[derive(Default)]
 pub(crate) struct News {
     /// When it was last told as it stood then, put off by the time in which it could not be had; 0 before any.
-    told_at: Micros,
+    pub told_at: Micros,
     /// When it was last told or asked for in vain.
     heard_at: Micros,
 }
--- a/crates/decision/tests/news.rs
+++ b/crates/decision/tests/news.rs
@@ -72,3 +72,17 @@
     failed_call(&mut driver, ListKind::Failed);
     assert!(sent(&driver.request(1)).is_some());
 }
+
+// Guards against an upgrade by which a list that is nearly out of date counts as told anew.
+#[test]
+fn a_list_that_was_taken_over_is_as_old_as_it_was() {
+    let mut before = fleet();
+    before.now += 4 * S;
+    let mut after = Driver { balancer: Balancer::new(settings_that_bind(), 8).unwrap(), now: before.now };
+    after.list(ListKind::Full, members(2));
+    after.event(Event::Inherited(Box::new(before.balancer.experience())));
+    after.now = 100 * S + BINDS - 1;
+    assert!(sent(&after.request(1)).is_some());
+    after.now += 1;
+    assert!(refused(&after.request(2)));
+}
