A discovery that moved binds four seconds after SIGHUP, whatever the one before still says

By reading: what the new discovery has binds four seconds after SIGHUP, but the list counted as told whenever the old one, which is read on since, said that nothing was new; and six seconds passed where four are allowed.

`ListKind::Moved` tells the module of the move; until the new one has told its whole list, changes that the old one tells bind and say nothing of how old the list is (`News::missed`). A whole list of the old one is not entered any more. Test: `a_service_that_moved_binds_from_its_move_until_it_tells_its_list`.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -84,6 +84,8 @@
     pub ask_within: Micros,
     /// What a list would tell binds so long after it could be had, whether it came or not, where that is stated.
     pub binds_after: Option<Micros>,
+    /// The same after the service that tells it became another one.
+    pub binds_moved: Micros,
     /// Members' weights state their registered size.
     pub sized_weights: bool,
     /// Members' weights also fall with the load there, and change with each report.
@@ -130,6 +132,7 @@
             ask_for_list: false,
             ask_within: 10_000_000,
             binds_after: None,
+            binds_moved: 0,
             sized_weights: false,
             live_weights: false,
             groups: false,
@@ -286,6 +289,8 @@
     Failed,
     /// A call failed, as there was no way to the service that tells of the list; no entries.
     Unreached,
+    /// The service that tells of the list is another one now, and has not told it yet; no entries.
+    Moved,
 }
 
 /// News of an open connection.
--- a/crates/decision/src/news.rs
+++ b/crates/decision/src/news.rs
@@ -10,19 +10,29 @@
     pub told_at: Micros,
     /// When it was last told or asked for in vain.
     heard_at: Micros,
+    /// Since when another service is to tell it, put off likewise; none once that one did.
+    moved_at: Option<Micros>,
 }
 
 impl News {
     /// Enters that the list was told, or was not to be had; whether the latter.
     pub fn missed(&mut self, now: Micros, kind: ListKind) -> bool {
         match kind {
-            ListKind::Delta | ListKind::Full => self.told_at = now,
+            ListKind::Full => (self.told_at, self.moved_at) = (now, None),
+            // Changes that the service before still tells are no news of what the new one has.
+            ListKind::Delta if self.moved_at.is_some() => {}
+            ListKind::Delta => self.told_at = now,
             // What cannot be reached binds nobody.
-            ListKind::Unreached => self.told_at += now.saturating_sub(self.heard_at),
+            ListKind::Unreached => {
+                let gap = now.saturating_sub(self.heard_at);
+                self.told_at += gap;
+                self.moved_at = self.moved_at.map(|at| at + gap);
+            }
+            ListKind::Moved => self.moved_at = Some(now),
             ListKind::Failed => {}
         }
         self.heard_at = now;
-        matches!(kind, ListKind::Failed | ListKind::Unreached)
+        !matches!(kind, ListKind::Full | ListKind::Delta)
     }
 }
 
@@ -30,6 +40,10 @@
     /// Whether what the list has to tell may bind by now without having come. Then nothing is known of any backend: one
     /// that took a request lately may have been announced as leaving long before, as a draining one takes them too.
     pub(crate) fn outdated(&self, now: Micros) -> bool {
-        self.settings.binds_after.is_some_and(|after| now >= self.news.told_at + after)
+        let News { told_at, moved_at, .. } = self.news;
+        self.settings.binds_after.is_some_and(|after| {
+            let moved = moved_at.is_some_and(|at| now >= at + self.settings.binds_moved);
+            moved || now >= told_at + after
+        })
     }
 }
--- a/crates/decision/tests/news.rs
+++ b/crates/decision/tests/news.rs
@@ -6,9 +6,10 @@
 use pierloom_decision::*;
 
 const BINDS: Micros = 6 * S;
+const MOVED: Micros = 4 * S;
 
 fn settings_that_bind() -> Settings {
-    Settings { binds_after: Some(BINDS), ask_for_list: true, removal_binds: true, ..settings() }
+    Settings { binds_after: Some(BINDS), binds_moved: MOVED, ask_for_list: true, ..settings() }
 }
 
 /// A fleet of two whose list was told at 100 s.
@@ -86,3 +87,19 @@
     after.now += 1;
     assert!(refused(&after.request(2)));
 }
+
+// Guards against a list that counts as told because the service before still says that nothing is new.
+#[test]
+fn a_service_that_moved_binds_from_its_move_until_it_tells_its_list() {
+    let mut driver = fleet();
+    driver.now += 5 * S;
+    driver.list(ListKind::Delta, Vec::new());
+    driver.list(ListKind::Moved, Vec::new());
+    driver.now += MOVED - 1;
+    driver.list(ListKind::Delta, Vec::new());
+    assert!(sent(&driver.request(1)).is_some());
+    driver.now += 1;
+    assert!(refused(&driver.request(2)));
+    driver.list(ListKind::Full, members(2));
+    assert!(sent(&driver.request(3)).is_some());
+}
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -83,9 +83,10 @@
                     ListKind::Delta => "lists_changed",
                     ListKind::Failed => "lists_failed",
                     ListKind::Unreached => "lists_unreached",
+                    ListKind::Moved => "lists_moved",
                 };
                 self.add(name, 1);
-                if matches!(kind, ListKind::Failed | ListKind::Unreached) {
+                if !matches!(kind, ListKind::Full | ListKind::Delta) {
                     return;
                 }
                 self.listed = now;
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -22,6 +22,8 @@
 /// Whatever discovery has to tell binds so long after it had it, whether it was told or not: the protocol's figure;
 /// microseconds.
 pub const BINDS: Micros = 6_000_000;
+/// The same after SIGHUP named another discovery; microseconds.
+pub const BINDS_MOVED: Micros = 4_000_000;
 /// How long discovery may hold a watch; milliseconds. A watch that has fallen silent looks like one that is held: what
 /// is left of its hold, of [`SLACK`] and the call that replaces it have to fit into [`BINDS`] together.
 const HOLD_MS: u64 = 1_500;
@@ -344,6 +346,7 @@
                 follower.pause().await
             }
             Came::Moved => {
+                core.tell(Event::Members { kind: ListKind::Moved, members: [].into() });
                 (follower.from, follower.kept) = (None, None);
                 follower.discovery = *follower.moves.borrow_and_update();
                 follower.call().await
@@ -368,7 +371,11 @@
         }
         let Answer { list, whole, discovery, sender } = answer;
         let (core, index) = (self.core, list.index);
-        enter(core, self.names, self.roster, list, if whole { ListKind::Full } else { ListKind::Delta });
+        // A whole list of the one before would stand for the new one's.
+        if whole {
+            return None;
+        }
+        enter(core, self.names, self.roster, list, ListKind::Delta);
         let goes_on = Box::pin(call(core, Some(sender), discovery, Some(index)));
         self.late.0.push((core.now(), goes_on));
         None
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -282,8 +282,9 @@
         max_retry_after: micros(wire.bounds.max_retry_after),
         ask_for_list: wire.membership_mode == "ask",
         ask_within: or(wire.contract.ask_within, base.ask_within),
-        // A figure of the real proxies' protocol, which the wire does not have.
+        // Figures of the real proxies' protocol, which the wire does not have.
         binds_after: None,
+        binds_moved: 0,
         sized_weights: matches!(wire.weights.as_str(), "nominal" | "rough" | "live"),
         live_weights: wire.weights == "live",
         groups: wire.family_info.groups,
@@ -432,7 +433,7 @@
                 _ => return Err(fields.bad("mode", mode)),
             };
             let page = match kind {
-                ListKind::Failed | ListKind::Unreached => None,
+                ListKind::Failed | ListKind::Unreached | ListKind::Moved => None,
                 _ => Some(list.parse().map_err(|_| fields.bad("list", list))?),
             };
             fields.end(Line::Roster(kind, page))
