What staff say of a backend no longer counts as news of the list

By reading the whole change again: `Event::Withheld` goes through `on_members` as changes without entries, and since that entered the list as told in that moment, so that a call at the second address let requests begin on a list that was out of date. Only what comes of the list enters `News::missed` now.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -200,6 +200,7 @@
             self.ask(out);
         }
         match event {
+            Event::Members { kind, .. } if self.news.missed(now, kind) => self.ask(out),
             Event::Members { kind, members } => self.on_members(now, kind, &members, out),
             Event::Inherited(learned) => self.inherit(*learned),
             Event::Withheld(backend, withheld) => {
@@ -262,9 +263,6 @@
 
     /// News of the list; a backend that a complete one leaves out is gone.
     fn on_members(&mut self, now: Micros, kind: ListKind, members: &[Member], out: &mut Vec<Action>) {
-        if self.news.missed(now, kind) {
-            return self.ask(out);
-        }
         self.calls = 0;
         if kind == ListKind::Full {
             self.backends.iter_mut().for_each(|b| b.member.state = MemberState::Gone);
--- a/crates/decision/tests/news.rs
+++ b/crates/decision/tests/news.rs
@@ -103,3 +103,15 @@
     driver.list(ListKind::Full, members(2));
     assert!(sent(&driver.request(3)).is_some());
 }
+
+// Guards against a list that counts as told because staff took a backend out or gave it back.
+#[test]
+fn what_staff_say_of_a_backend_tells_nothing_of_the_list() {
+    let mut driver = fleet();
+    let name = members(2)[0].backend.clone();
+    driver.now += 4 * S;
+    driver.event(Event::Withheld(name.clone(), true));
+    driver.event(Event::Withheld(name, false));
+    driver.now = 100 * S + BINDS;
+    assert!(refused(&driver.request(1)));
+}
