--- a/crates/pierloom/tests/world/mod.rs
+++ b/crates/pierloom/tests/world/mod.rs
@@ -56,6 +56,16 @@
         line
     }
 
+    /// The next line, or how the connection ended in place of one.
+    pub fn answer(&mut self) -> String {
+        let mut line = String::new();
+        match self.reader.read_line(&mut line) {
+            Ok(0) => "closed with no answer".into(),
+            Ok(_) => line,
+            Err(e) => format!("{:?} with no answer", e.kind()),
+        }
+    }
+
     /// The next line, if it comes within that time.
     pub fn line_within(&mut self, time: Duration) -> Option<String> {
         self.stream().set_read_timeout(Some(time)).unwrap();
@@ -380,16 +390,30 @@
     path: std::path::PathBuf,
 }
 
+/// The variables that the program goes by.
+const OWN_VARIABLES: [&str; 5] = ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG", "LB_CONSOLE"];
+
 /// A command for the program that sees nothing of this process's variables for it.
 pub fn program(arguments: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_pierloom"));
-    for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG", "LB_CONSOLE"] {
+    for name in OWN_VARIABLES {
         command.env_remove(name);
     }
     command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
     command
 }
 
+/// `strace` as a process of its own beside the one that it starts, with those arguments.
+pub fn traced(tracing: &[&str]) -> Command {
+    let mut command = Command::new("strace");
+    for name in OWN_VARIABLES {
+        command.env_remove(name);
+    }
+    command.args(["-D", "-f", "-qq", "-o", "/dev/null"]).args(tracing);
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
 /// What processes share that upgrade each other.
 pub struct Folder(pub std::path::PathBuf);
 
@@ -448,6 +472,13 @@
         Proxy::start_command(program(&["serve"]), name, sockets, entries, settings)
     }
 
+    /// Starts under `strace` with these arguments; the process is the program itself.
+    pub fn start_traced(name: &str, tracing: &[&str], entries: &[String], settings: &str) -> Self {
+        let mut command = traced(tracing);
+        command.args([env!("CARGO_BIN_EXE_pierloom"), "serve"]);
+        Proxy::start_command(command, name, 1024, entries, settings)
+    }
+
     /// Starts with a machine list that others may have too, or with none at that address.
     pub fn start_at(name: &str, discovery: SocketAddr, nodes: &[Node]) -> Self {
         let mut command = program(&["serve"]);
