System calls that fail for a moment are made again; our own failures blame no backend

Cause: host/net.rs handed EINTR on as the connection's end; listener.rs took any failed accept for a lack of descriptors and closed a client whose TCP_NODELAY could not be set; attempt.rs counted a socket that could not be made here against the backend; discovery.rs took it for an unreachable discovery. Change: one module, host/transient.rs, says which failures pass and makes the call again, at once for calls that do not wait, within an eighth of a second for those that open something; an attempt that this machine could not make is told as never sent, a call to discovery as failed, not unreached. Ruled out: waits (epoll_wait) were sound before.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,6 +10,7 @@
 mod os;
 mod pass;
 mod task;
+pub mod transient;
 
 pub use net::{Interest, Listening, TcpListener, TcpStream, Wire};
 pub use pass::{Offers, Pass, Socket};
--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -1,5 +1,6 @@
 //! TCP as the proxy uses it: readiness, partial reads and writes, half-close and reset, on any machine.
 
+use crate::transient::{at_once, next_sound};
 use socket2::SockRef;
 use std::future::poll_fn;
 use std::io;
@@ -101,7 +102,7 @@
     /// Reads what there is; 0 at the other side's end, `WouldBlock` if there is nothing.
     pub fn try_read(&self, into: &mut [u8]) -> io::Result<usize> {
         match &self.0 {
-            Stream::Os(stream) => stream.try_read(into),
+            Stream::Os(stream) => at_once(|| stream.try_read(into)),
             Stream::Made(wire) => wire.try_read(into),
         }
     }
@@ -109,7 +110,7 @@
     /// Writes a part, as much as there is room for; `WouldBlock` if there is none.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         match &self.0 {
-            Stream::Os(stream) => stream.try_write(bytes),
+            Stream::Os(stream) => at_once(|| stream.try_write(bytes)),
             Stream::Made(wire) => wire.try_write(bytes),
         }
     }
@@ -122,18 +123,19 @@
         }
     }
 
-    /// Sends each write at once; a machine of another kind always does.
-    pub fn set_nodelay(&self) -> io::Result<()> {
-        match &self.0 {
-            Stream::Os(stream) => stream.set_nodelay(true),
-            Stream::Made(_) => Ok(()),
+    /// Sends each write at once; a machine of another kind always does. A connection that cannot be told to serves all
+    /// the same, if later.
+    pub fn set_nodelay(&self) {
+        if let Stream::Os(stream) = &self.0 {
+            // Nothing is lost over it.
+            let _ = at_once(|| stream.set_nodelay(true));
         }
     }
 
     /// Ends the sending: the other side reads an end after all that was written.
     pub fn finish(&self) -> io::Result<()> {
         match &self.0 {
-            Stream::Os(stream) => SockRef::from(stream).shutdown(Shutdown::Write),
+            Stream::Os(stream) => at_once(|| SockRef::from(stream).shutdown(Shutdown::Write)),
             Stream::Made(wire) => wire.finish(),
         }
     }
@@ -142,12 +144,25 @@
     pub fn reset_on_close(&self) {
         match &self.0 {
             // One that is closed already is none that could be reset.
-            Stream::Os(stream) => drop(SockRef::from(stream).set_linger(Some(Duration::ZERO))),
+            Stream::Os(stream) => drop(at_once(|| SockRef::from(stream).set_linger(Some(Duration::ZERO)))),
             Stream::Made(wire) => wire.reset_on_close(),
         }
     }
 }
 
+/// Polls again where a call of the poll's failed for a moment.
+fn uninterrupted<T>(mut poll: impl FnMut() -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    let polled = at_once(|| match poll() {
+        Poll::Ready(done) => done.map(Poll::Ready),
+        Poll::Pending => Ok(Poll::Pending),
+    });
+    match polled {
+        Ok(Poll::Ready(done)) => Poll::Ready(Ok(done)),
+        Ok(Poll::Pending) => Poll::Pending,
+        Err(error) => Poll::Ready(Err(error)),
+    }
+}
+
 impl AsyncRead for TcpStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -155,7 +170,7 @@
         into: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         match &mut self.get_mut().0 {
-            Stream::Os(stream) => Pin::new(stream).poll_read(context, into),
+            Stream::Os(stream) => uninterrupted(|| Pin::new(&mut *stream).poll_read(context, into)),
             Stream::Made(wire) => loop {
                 ready!(wire.poll_readable(context));
                 match wire.try_read(into.initialize_unfilled()) {
@@ -174,7 +189,7 @@
 impl AsyncWrite for TcpStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         match &mut self.get_mut().0 {
-            Stream::Os(stream) => Pin::new(stream).poll_write(context, bytes),
+            Stream::Os(stream) => uninterrupted(|| Pin::new(&mut *stream).poll_write(context, bytes)),
             Stream::Made(wire) => loop {
                 ready!(wire.poll_writable(context));
                 match wire.try_write(bytes) {
@@ -191,7 +206,7 @@
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         match &mut self.get_mut().0 {
-            Stream::Os(stream) => Pin::new(stream).poll_shutdown(context),
+            Stream::Os(stream) => uninterrupted(|| Pin::new(&mut *stream).poll_shutdown(context)),
             Stream::Made(wire) => Poll::Ready(wire.finish()),
         }
     }
@@ -216,10 +231,14 @@
         TcpListener(Listener::Made(Box::new(listening)))
     }
 
-    /// The next connection and where it came from. Nothing is lost when this is dropped before its end.
+    /// The next connection and where it came from; one that failed before it was taken in is passed over. Nothing is
+    /// lost when this is dropped before its end.
     pub async fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
         match &self.0 {
-            Listener::Os(listener, _) => listener.accept().await.map(|(stream, from)| (stream.into(), from)),
+            Listener::Os(listener, _) => {
+                let (stream, from) = next_sound(async || listener.accept().await).await?;
+                Ok((stream.into(), from))
+            }
             Listener::Made(listening) => poll_fn(|context| listening.poll_accept(context)).await,
         }
     }
--- a/crates/host/src/os.rs
+++ b/crates/host/src/os.rs
@@ -1,6 +1,7 @@
 //! The real machine, on tokio.
 
 use crate::task::Source;
+use crate::transient::{opened, opened_blocking};
 use crate::{Local, Machine, Micros, Offers, Pass, Signal, Signals, TcpListener, TcpStream};
 use socket2::{Domain, Socket, Type};
 use std::any::Any;
@@ -37,19 +38,22 @@
     }
 
     fn connect(&self, to: SocketAddr) -> Local<'static, io::Result<TcpStream>> {
-        Box::pin(async move { tokio::net::TcpStream::connect(to).await.map(TcpStream::from) })
+        let connect = async move || tokio::net::TcpStream::connect(to).await.map(TcpStream::from);
+        Box::pin(opened(connect))
     }
 
     fn listen(&self, at: SocketAddr, backlog: i32, beside: bool) -> io::Result<TcpListener> {
-        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
-        if beside {
-            socket.set_reuse_port(true)?;
-        }
-        socket.set_nonblocking(true)?;
-        socket.bind(&at.into())?;
-        socket.listen(backlog)?;
-        TcpListener::os(tokio::net::TcpListener::from_std(socket.into())?)
+        opened_blocking(|| {
+            let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+            socket.set_reuse_address(true)?;
+            if beside {
+                socket.set_reuse_port(true)?;
+            }
+            socket.set_nonblocking(true)?;
+            socket.bind(&at.into())?;
+            socket.listen(backlog)?;
+            TcpListener::os(tokio::net::TcpListener::from_std(socket.into())?)
+        })
     }
 
     fn signals(&self, which: Signal) -> io::Result<Signals> {
@@ -61,7 +65,7 @@
     }
 
     fn read_file(&self, path: &Path) -> io::Result<Vec<u8>> {
-        std::fs::read(path)
+        opened_blocking(|| std::fs::read(path))
     }
 
     fn write_file(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
--- a/crates/host/src/pass.rs
+++ b/crates/host/src/pass.rs
@@ -1,6 +1,7 @@
 //! Two processes of one machine beside each other: sockets and words pass between them, through a socket
 //! in a folder that both share.
 
+use crate::transient::{at_once, next_sound, opened};
 use crate::{TcpListener, TcpStream};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
@@ -38,7 +39,7 @@
 
     /// The next process that asks. Nothing is lost when this is dropped before its end.
     pub async fn next(&self) -> io::Result<Pass> {
-        let (stream, _) = self.0.accept().await?;
+        let (stream, _) = next_sound(async || self.0.accept().await).await?;
         Ok(Pass::of(stream))
     }
 }
@@ -74,7 +75,7 @@
 
     /// Asks whoever offers at that path.
     pub(crate) async fn to(path: &Path) -> io::Result<Self> {
-        Ok(Pass::of(UnixStream::connect(path).await?))
+        Ok(Pass::of(opened(async || UnixStream::connect(path).await).await?))
     }
 
     /// Says a word, which holds no end of line, with two sockets at most. They stay open here too.
@@ -87,13 +88,14 @@
             if !descriptors.is_empty() && !rights.push(SendAncillaryMessage::ScmRights(&descriptors)) {
                 return Err(ErrorKind::InvalidInput.into());
             }
-            Ok(sendmsg(&self.stream, &[IoSlice::new(word)], &mut rights, SendFlags::NOSIGNAL)?)
+            let words = [IoSlice::new(word)];
+            at_once(|| Ok(sendmsg(&self.stream, &words, &mut rights, SendFlags::NOSIGNAL)?))
         });
         let written = first.await?;
         for mut part in [&word[written..], b"\n"] {
             while !part.is_empty() {
                 self.stream.writable().await?;
-                match self.stream.try_write(part) {
+                match at_once(|| self.stream.try_write(part)) {
                     Ok(written) => part = &part[written..],
                     Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                     Err(e) => return Err(e),
@@ -124,8 +126,10 @@
                 let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(SOCKETS))];
                 let mut rights = RecvAncillaryBuffer::new(&mut space);
                 let mut part = [0; PART];
-                let into = &mut [IoSliceMut::new(&mut part)];
-                let read = recvmsg(&self.stream, into, &mut rights, RecvFlags::CMSG_CLOEXEC)?.bytes;
+                let read = at_once(|| {
+                    let into = &mut [IoSliceMut::new(&mut part)];
+                    Ok(recvmsg(&self.stream, into, &mut rights, RecvFlags::CMSG_CLOEXEC)?.bytes)
+                })?;
                 for message in rights.drain() {
                     if let RecvAncillaryMessage::ScmRights(sockets) = message {
                         self.sockets.borrow_mut().extend(sockets);
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::stream::{first_line, read_line, write_all};
 use pierloom_decision::{Micros, Status};
 use pierloom_host::TcpStream;
+use pierloom_host::transient::of_this_machine;
 use std::net::SocketAddr;
 
 /// How far an attempt came before it ended.
@@ -29,6 +30,8 @@
     Broke,
     /// The client left, or was sent away.
     Left,
+    /// This machine could not make the connection, which tells nothing of the backend.
+    Unable,
     /// When it could have been written, it was not to be any more.
     Barred,
     /// The backend said so.
@@ -51,8 +54,10 @@
             (_, Cause::Said(Reply::Bye)) => Status::Ok,
             (_, Cause::Said(Reply::Move)) => Status::Cancelled,
             (_, Cause::Said(_)) => Status::Error,
-            (Reach::NotConnected | Reach::Unwritten, Cause::Left | Cause::Barred) => Status::Moot,
-            (_, Cause::Left | Cause::Barred) => Status::Cancelled,
+            (Reach::NotConnected | Reach::Unwritten, Cause::Left | Cause::Barred | Cause::Unable) => {
+                Status::Moot
+            }
+            (_, Cause::Left | Cause::Barred | Cause::Unable) => Status::Cancelled,
             (Reach::NotConnected | Reach::Unwritten, _) => Status::ConnectFailed,
             (Reach::Written, Cause::Late) => Status::Timeout,
             (Reach::Written | Reach::Up, _) => Status::Reset,
@@ -83,13 +88,16 @@
     let node = node.ok_or_else(|| ending(Reach::NotConnected, Cause::Broke))?;
     let stream = tokio::select! {
         biased;
-        stream = core.host.connect(node) => stream.map_err(|_| ending(Reach::NotConnected, Cause::Broke))?,
+        stream = core.host.connect(node) => {
+            let cause = |e| if of_this_machine(&e) { Cause::Unable } else { Cause::Broke };
+            stream.map_err(|e| ending(Reach::NotConnected, cause(e)))?
+        }
         () = core.deadlines.until(connect_until) => return Err(ending(Reach::NotConnected, Cause::Late)),
         () = core.ends.wait() => return Err(ending(Reach::NotConnected, Cause::Left)),
     };
     let mut reach = Reach::Unwritten;
     let answer = async {
-        stream.set_nodelay().map_err(|_| Cause::Broke)?;
+        stream.set_nodelay();
         let opening = opening().ok_or(Cause::Barred)?;
         write_all(&stream, &opening).await.map_err(|_| Cause::Broke)?;
         reach = Reach::Written;
--- a/crates/proxy/src/console.rs
+++ b/crates/proxy/src/console.rs
@@ -70,7 +70,7 @@
 
 /// Hears one call and answers it. What is no whole call in time, or stands in another's way, is closed.
 async fn call(core: Rc<Core>, upgrades: Rc<Upgrades>, stream: TcpStream, place: Place) {
-    let _ = stream.set_nodelay();
+    stream.set_nodelay();
     let served = {
         let core = core.clone();
         service_fn(move |request| {
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -33,8 +33,12 @@
 /// microseconds.
 const PARTING: usize = 8;
 const PARTING_TIME: Micros = 50_000;
-/// Pause after an accept that failed; microseconds.
-const ACCEPT_PAUSE: Micros = 20_000;
+/// An accept that fails is made so often again...
+const ACCEPT_TRIES: usize = 4;
+/// ...after this pause, before somebody is refused for it; microseconds.
+const ACCEPT_PAUSE: Micros = 5_000;
+/// For so long a client that finds no descriptor is told so; microseconds.
+const REFUSING: Micros = 20_000;
 
 /// Takes clients in.
 pub struct Listener {
@@ -125,10 +129,12 @@
 
     /// Accepts for ever; each client is a task of its own, where a panic stays.
     pub async fn serve(self: Rc<Self>, core: Rc<Core>, front: Rc<dyn Front>) {
+        let mut failures = 0;
         loop {
             let place = self.pending.enter(&core).await;
             match self.accept().await {
                 Ok(stream) => {
+                    failures = 0;
                     let (host, core, front) = (core.host.clone(), core.clone(), front.clone());
                     let (listener, owed) = (self.clone(), core.owe());
                     host.spawn(async move {
@@ -141,28 +147,44 @@
                         }
                     });
                 }
+                // A lack that lasts only for a moment refuses nobody.
+                Err(_) if failures < ACCEPT_TRIES => {
+                    failures += 1;
+                    core.deadlines.until(core.now() + ACCEPT_PAUSE).await;
+                }
                 Err(e) => {
                     tracing::warn!(target: "listener", "{e}");
-                    // The spare descriptor lets one in, to be told so, in place of leaving all in the queue.
-                    drop(self.spare.borrow_mut().take());
-                    tokio::select! {
-                        biased;
-                        accepted = self.accept() => {
-                            accepted.into_iter().for_each(|stream| refuse(&stream, &*front));
-                        }
-                        () = core.deadlines.until(core.now() + ACCEPT_PAUSE) => {}
-                    }
-                    *self.spare.borrow_mut() = core.host.spare_descriptor();
-                    core.deadlines.until(core.now() + ACCEPT_PAUSE).await;
+                    self.refuse_one(&core, &*front).await;
                 }
             }
         }
     }
 }
 
+impl Listener {
+    /// The spare descriptor lets one client in, to be told that there is no room, in place of leaving all in the queue.
+    async fn refuse_one(&self, core: &Rc<Core>, front: &dyn Front) {
+        drop(self.spare.borrow_mut().take());
+        let until = core.now() + REFUSING;
+        let told = async {
+            if let Ok(stream) = self.accept().await {
+                stream.set_nodelay();
+                answer(core, stream, &front.refusal(Some(NO_ROOM))).await;
+            }
+        };
+        tokio::select! {
+            biased;
+            () = told => {}
+            () = core.deadlines.until(until) => {}
+        }
+        *self.spare.borrow_mut() = core.host.spare_descriptor();
+        core.deadlines.until(core.now() + ACCEPT_PAUSE).await;
+    }
+}
+
 /// Says that there is no room, without waiting.
 fn refuse(stream: &TcpStream, front: &dyn Front) {
-    let _ = stream.set_nodelay();
+    stream.set_nodelay();
     // A fresh connection has room for a line; one that is broken needs none.
     let _ = stream.try_write(&front.refusal(Some(NO_ROOM)));
     let _ = stream.finish();
@@ -190,7 +212,7 @@
         stream: TcpStream,
         place: Place,
     ) -> Option<(TcpStream, Box<dyn Opening>)> {
-        stream.set_nodelay().ok()?;
+        stream.set_nodelay();
         let heard = tokio::select! {
             biased;
             heard = hear(&**front, &stream) => heard,
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -73,7 +73,7 @@
         }
     }
     let Ok(stream) = core.host.connect(address).await else { return failed(Status::ConnectFailed) };
-    let _ = stream.set_nodelay();
+    stream.set_nodelay();
     match ask(front, &stream).await {
         Some((answer, whole)) => {
             if whole {
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -7,12 +7,14 @@
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
 use pierloom_decision::{Event, ListKind, Member, MemberState, Micros};
+use pierloom_host::transient::of_this_machine;
 use pierloom_wire::Names;
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::{Future, poll_fn};
+use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -195,6 +197,11 @@
         Failure { reached: false, why: why.to_string() }
     }
 
+    /// One of this machine's own tells nothing of discovery.
+    fn connecting(why: io::Error) -> Self {
+        if of_this_machine(&why) { Failure::after("not asked", why) } else { Failure::unreached(why) }
+    }
+
     fn after(stage: &str, why: impl ToString) -> Self {
         Failure { reached: true, why: format!("{stage}: {}", why.to_string()) }
     }
@@ -214,11 +221,12 @@
 async fn connect(core: &Core, discovery: SocketAddr) -> Result<Sender, Failure> {
     let stream = tokio::select! {
         biased;
-        stream = core.host.connect(discovery) => stream.map_err(Failure::unreached)?,
+        stream = core.host.connect(discovery) => stream.map_err(Failure::connecting)?,
         () = core.deadlines.until(core.now() + CONNECT) => return Err(Failure::unreached("no connection")),
     };
-    stream.set_nodelay().map_err(Failure::unreached)?;
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(Failure::unreached)?;
+    stream.set_nodelay();
+    let (sender, connection) =
+        handshake(TokioIo::new(stream)).await.map_err(|e| Failure::after("not asked", e))?;
     core.host.spawn(async move {
         // How it ended shows at the call that used it.
         let _ = connection.await;
