Signals are handled before anything is read; short stops leave time for moves; half-closed clients get ERR

Cause: main.rs read the config before proxy/lib.rs installed the handlers, so that a signal in that time ended the process. shutdown.rs waited 0.45 s for newcomers and began moves 1.1 s before the kill whatever the time there was, so that with deadlines of 0.25 s and less no move was made at all. job.rs took a read of 0 bytes for a client that had closed. Change: handlers first, and the time of SIGTERM is noted when it comes, also while the process starts; newcomers have a third of the time at most, and whoever stands is moved in every round until the end; one that ended its sending is answered, which harms none that has closed. Ruled out: a signal before main runs cannot be caught by any program that is started by exec.

--- a/crates/pierloom/src/main.rs
+++ b/crates/pierloom/src/main.rs
@@ -6,11 +6,13 @@
 
 use argh::FromArgs;
 use pierloom_host::Host;
-use pierloom_proxy::Parts;
+use pierloom_host::transient::opened_blocking;
 use pierloom_proxy::config::{self, Config, Fault};
+use pierloom_proxy::{Handlers, Parts};
 use settings::{Format, Settings};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
 
 /// A proxy for long-lived connections, round pierloom's decision module.
@@ -83,11 +85,30 @@
     }
 }
 
-fn serve(host: &Host, config: Config) -> Result<(), Fault> {
+/// Installs the handlers of signals first, as whatever comes before would be ended by one.
+fn prepare(host: &Host) -> Result<(Runtime, Handlers), Fault> {
+    let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = opened_blocking(build).map_err(|e| format!("runtime: {e}"))?;
+    let handlers = {
+        let _entered = runtime.enter();
+        Handlers::install(host)?
+    };
+    Ok((runtime, handlers))
+}
+
+fn serve(host: &Host, asked: &Serve) -> Result<ExitCode, Fault> {
+    let (runtime, handlers) = prepare(host)?;
+    let read = own_settings(host, asked.settings.as_deref())
+        .and_then(|settings| Ok((settings, config(host, None)?)));
+    let (mut settings, config) = match read {
+        Ok(read) => read,
+        Err(fault) => return Ok(complain(&fault, BAD_CONFIG)),
+    };
+    settings.log.format = asked.log_format.unwrap_or(settings.log.format);
+    logs::start(&settings.log);
     let parts = Parts::of(&config)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, pierloom_proxy::run(host.clone(), config, parts))
+    LocalSet::new().block_on(&runtime, pierloom_proxy::run(host.clone(), handlers, config, parts))?;
+    Ok(ExitCode::SUCCESS)
 }
 
 fn complain(fault: &str, code: u8) -> ExitCode {
@@ -110,16 +131,6 @@
             }
             Err(fault) => complain(&fault, BAD_CONFIG),
         },
-        Command::Serve(asked) => {
-            let read = own_settings(&host, asked.settings.as_deref())
-                .and_then(|settings| Ok((settings, config(&host, None)?)));
-            let (mut settings, config) = match read {
-                Ok(read) => read,
-                Err(fault) => return complain(&fault, BAD_CONFIG),
-            };
-            settings.log.format = asked.log_format.unwrap_or(settings.log.format);
-            logs::start(&settings.log);
-            serve(&host, config).map_or_else(|fault| complain(&fault, 1), |()| ExitCode::SUCCESS)
-        }
+        Command::Serve(asked) => serve(&host, &asked).unwrap_or_else(|fault| complain(&fault, 1)),
     }
 }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -372,6 +372,11 @@
         Some(Seat { core, id, class, identity, orders, attempts: 0, out: None, answered: false })
     }
 
+    /// The class of its request.
+    pub fn class(&self) -> usize {
+        self.class
+    }
+
     /// An attempt begins.
     pub fn begin(&mut self) {
         self.attempts += 1;
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -207,7 +207,10 @@
 /// How a client ended its wait for an answer.
 #[derive(Clone, Copy)]
 enum BreaksOff {
-    Left,
+    /// Its connection broke.
+    Broke,
+    /// It ended its sending, and may have closed; or it may wait for its answer all the same.
+    Ended,
     /// It has to wait after its opening: one that goes on speaking is none that can be served.
     Spoke,
 }
@@ -215,26 +218,34 @@
 /// Waits until the client no longer does.
 async fn breaks_off(client: &TcpStream) -> BreaksOff {
     match read_more(client, &mut Vec::new()).await {
-        Ok(1..) => BreaksOff::Spoke,
-        _ => BreaksOff::Left,
+        Ok(0) => BreaksOff::Ended,
+        Ok(_) => BreaksOff::Spoke,
+        Err(_) => BreaksOff::Broke,
     }
 }
 
 /// Whether the client waits no longer, as far as that is to be seen now.
 fn broken_off(client: &TcpStream) -> Option<BreaksOff> {
     match client.try_read(&mut [0; LONGEST_LINE]) {
-        Ok(1..) => Some(BreaksOff::Spoke),
+        Ok(0) => Some(BreaksOff::Ended),
+        Ok(_) => Some(BreaksOff::Spoke),
         Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
-        _ => Some(BreaksOff::Left),
+        Err(_) => Some(BreaksOff::Broke),
     }
 }
 
-/// Ends a job whose client did not wait; the attempt is closed by now.
+/// Ends a job whose client did not wait; the attempt is closed by now. Unless its connection broke it is answered:
+/// whether one that ended its sending has gone cannot be told, and an answer to one that has harms nobody.
 async fn dismiss(core: &Rc<Core>, front: &dyn Front, seat: Seat, client: TcpStream, how: BreaksOff) {
     let _owed = core.owe();
+    let class = seat.class();
     // The module is told that the client is gone, as for it this one is either way.
     drop(seat);
-    if matches!(how, BreaksOff::Spoke) {
-        answer(core, client, &front.failure()).await;
+    match how {
+        BreaksOff::Broke => {}
+        BreaksOff::Ended | BreaksOff::Spoke => {
+            core.figures.ended(class, Final::Failed);
+            answer(core, client, &front.failure()).await;
+        }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -32,7 +32,7 @@
 use self::source::discovery::{self, Roster};
 use self::upgrade::Upgrades;
 use pierloom_decision::{Balancer, Event, ListKind};
-use pierloom_host::{Ended, Host, Signal};
+use pierloom_host::{Ended, Host, Signal, Signals};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
@@ -55,12 +55,29 @@
     }
 }
 
+/// The signals that a proxy handles.
+pub struct Handlers {
+    hangups: Signals,
+    terminations: Signals,
+}
+
+impl Handlers {
+    /// To be installed before anything else: a signal without its handler ends the process. One that comes before
+    /// [`run`] is heeded there.
+    pub fn install(host: &Host) -> Result<Self, Fault> {
+        let signals = |which| host.signals(which).map_err(|e| format!("signals: {e}"));
+        Ok(Handlers { hangups: signals(Signal::Hangup)?, terminations: signals(Signal::Terminate)? })
+    }
+}
+
 /// Runs the proxy on that machine until it has stopped as planned.
-pub async fn run(host: Host, config: Config, parts: Parts) -> Result<(), Fault> {
+pub async fn run(host: Host, handlers: Handlers, config: Config, parts: Parts) -> Result<(), Fault> {
     let Parts { module, front } = parts;
     let names = config.names;
     let figures = Figures::new(names.class_names()).map_err(|e| format!("figures: {e}"))?;
     let (core, probes) = Core::new(host.clone(), config.settings, module, figures);
+    let Handlers { hangups, terminations } = handlers;
+    let terminated = shutdown::note_sigterm(&core, terminations);
     names.doubts.iter().for_each(|doubt| tracing::warn!(target: "config", "{doubt}"));
     keep_up(&host, "sweep", {
         let core = core.clone();
@@ -72,9 +89,6 @@
     let roster = Rc::new(RefCell::new(Roster::default()));
     let known = Cell::new(Some(list.index()));
     discovery::enter(&core, &names, &roster, list, ListKind::Full);
-    // Before anyone can know of this proxy: a signal without its handler would end it.
-    let signals = |which| host.signals(which).map_err(|e| format!("signals: {e}"));
-    let (hangups, terminations) = (signals(Signal::Hangup)?, signals(Signal::Terminate)?);
     let (discovery_moves, address) = watch::channel(config.discovery);
     host.spawn(reload::on_sighup(core.clone(), hangups, config.source, discovery_moves));
     keep_up(&host, "machine list", {
@@ -104,7 +118,7 @@
         move || listener.clone().serve(core.clone(), front.clone())
     });
     host.spawn(upgrades.serve(listener.clone(), roster, before));
-    shutdown::on_sigterm(core, terminations).await;
+    shutdown::on_sigterm(core, terminated).await;
     Ok(())
 }
 
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -4,13 +4,16 @@
 use pierloom_decision::Micros;
 use pierloom_host::Signals;
 use std::rc::Rc;
+use tokio::sync::oneshot;
 
 /// The kill comes no sooner than the longest deadline after the signal, counted as at most this...
 const LONGEST_COUNTED: Micros = 3_000_000;
 /// ...and this much more; microseconds.
 const KILL_SLACK: Micros = 700_000;
-/// Until then the front may still send new clients; microseconds.
+/// Until then the front may still send new clients; microseconds. Where the kill comes soon, they are refused earlier,
+/// so that a third of the time is left for moves and a third for the end.
 const STILL_COMING: Micros = 450_000;
+const STILL_COMING_PART: Micros = 3;
 /// Before the kill, all moves are under way this early, and the process ends this early; microseconds.
 const MOVED_EARLY: Micros = 1_100_000;
 const ENDED_EARLY: Micros = 250_000;
@@ -23,17 +26,29 @@
 /// Moves go out no closer than this, several at once where they are many; microseconds.
 const STEP: Micros = 20_000;
 
+/// When SIGTERM came. It may come while the process is not ready yet, and its time counts from there.
+pub fn note_sigterm(core: &Rc<Core>, mut terminations: Signals) -> oneshot::Receiver<Micros> {
+    let (sender, told) = oneshot::channel();
+    let noting = core.clone();
+    core.host.spawn(async move {
+        if terminations.recv().await.is_some() {
+            // Whoever waits for it does so until the process ends.
+            let _ = sender.send(noting.now());
+        }
+    });
+    told
+}
+
 /// Waits for SIGTERM and serves the rest of the process's life.
-pub async fn on_sigterm(core: Rc<Core>, mut terminations: Signals) {
-    terminations.recv().await;
-    let told = core.now();
+pub async fn on_sigterm(core: Rc<Core>, told: oneshot::Receiver<Micros>) {
+    let Ok(told) = told.await else { return std::future::pending().await };
     let longest = core.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let kill = told + longest.min(LONGEST_COUNTED) + KILL_SLACK;
     let last_move = kill.saturating_sub(MOVED_EARLY).max(told);
     if hand_on(&core, last_move).await {
         return;
     }
-    core.deadlines.until(told + STILL_COMING.min(kill - told)).await;
+    core.deadlines.until(told + STILL_COMING.min((kill - told) / STILL_COMING_PART)).await;
     while core.now() < last_move {
         let (left, standing) = (last_move - core.now(), core.standing());
         // One at a time where that spreads them over what is left, more where they are many.
@@ -47,14 +62,22 @@
     // given up.
     core.stop();
     let last_words = kill - ENDED_EARLY - LAST_WORDS;
-    while core.now() < last_words {
+    move_all(&core, last_words).await;
+    if core.is_idle() {
+        return;
+    }
+    core.ends.reach();
+    move_all(&core, kill - ENDED_EARLY).await;
+}
+
+/// Moves whoever stands, and whoever comes up meanwhile, until nobody is owed anything or it is that time.
+async fn move_all(core: &Core, until: Micros) {
+    loop {
         core.standing().into_iter().for_each(|id| core.order(id, Order::Move));
-        if quiet(&core, (core.now() + LAST_STEP).min(last_words)).await {
+        if quiet(core, (core.now() + LAST_STEP).min(until)).await || core.now() >= until {
             return;
         }
     }
-    core.ends.reach();
-    while core.now() < kill - ENDED_EARLY && !quiet(&core, kill - ENDED_EARLY).await {}
 }
 
 /// Waits until nobody is owed anything, and a moment more shows none who was in the queue; false at that time.
--- a/crates/world/src/real.rs
+++ b/crates/world/src/real.rs
@@ -9,7 +9,7 @@
 use crate::script::{Fault, Script};
 use crate::submitter::{Front, Outcome, Submitter};
 use pierloom_host::{Host, Local, Machine, Micros, Signal, Signals, TcpListener, TcpStream};
-use pierloom_proxy::{Parts, config};
+use pierloom_proxy::{Handlers, Parts, config};
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -154,10 +154,11 @@
         let (host, kill) = process(&config_text(script, index, spec.seed, address, discovery, &book.whole()));
         let config = config::read(&host, Path::new("config"))?;
         let parts = Parts::of(&config)?;
+        let handlers = Handlers::install(&host)?;
         let machine = host.clone();
         host.spawn(async move {
             // It ends with the run.
-            let _ = pierloom_proxy::run(machine, config, parts).await;
+            let _ = pierloom_proxy::run(machine, handlers, config, parts).await;
         });
         front.proxies.borrow_mut().push((spec.zone, address, true));
         proxies.push(kill);
--- a/crates/world/src/run.rs
+++ b/crates/world/src/run.rs
@@ -10,7 +10,7 @@
 use crate::sim::{EPOCH, ProcessId, Sim};
 use crate::submitter::{Front, Outcome, Submitter};
 use pierloom_host::{Host, Micros, Signal};
-use pierloom_proxy::{Parts, config};
+use pierloom_proxy::{Handlers, Parts, config};
 use rand::Rng as _;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
@@ -345,12 +345,12 @@
         self.sim.observer.borrow_mut().enroll(id, Role::Proxy(index), &name);
         self.ended.borrow_mut()[index] = false;
         let read = config::read(&host, Path::new(CONFIG));
-        let parts = read.and_then(|config| Ok(((self.build)(&config)?, config)));
+        let parts = read.and_then(|config| Ok((Handlers::install(&host)?, (self.build)(&config)?, config)));
         let world = self.clone();
         let machine = host.clone();
         host.spawn(async move {
             let ended = match parts {
-                Ok((parts, config)) => pierloom_proxy::run(machine, config, parts).await,
+                Ok((handlers, parts, config)) => pierloom_proxy::run(machine, handlers, config, parts).await,
                 Err(fault) => Err(fault),
             };
             world.after(0, move |world| world.proxy_ended(index, id, ended));
