--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -302,8 +302,8 @@
         self.begin(work, i, now, until);
     }
 
-    /// Exception "shared failure": guards against a storm on what all backends need. A request waits for its turn
-    /// where it may still be set up as soon as is wanted; else it is refused at once, and told when.
+    /// Exception "shared failure": guards against a storm on what all backends need. A request waits for its
+    /// turn where it may still be set up as soon as is wanted; else it is refused at once, and told when.
     fn wait_for_set_up(&mut self, now: Micros, work: Work, at: Micros, out: &mut Vec<Action>) {
         let class = self.class(&work.request);
         let wanted_by = (work.request.deadline + class.aim).saturating_sub(class.deadline);
