Tests of time within discovery's reach and of marks that are not written, red

Seen: a first failed connect gives back the whole time since the list was told, in which discovery could be reached; a mark is answered yes though it could not be written, and is gone after a kill.

--- a/crates/decision/tests/news.rs
+++ b/crates/decision/tests/news.rs
@@ -51,21 +51,37 @@
 }
 
 #[test]
-fn time_in_which_the_list_could_not_be_reached_does_not_count() {
+fn time_in_which_the_list_is_known_to_be_out_of_reach_does_not_count() {
     let mut driver = fleet();
     for _ in 0..20 {
         driver.now += S;
         failed_call(&mut driver, ListKind::Unreached);
     }
     assert!(sent(&driver.request(1)).is_some());
-    // It is there again, and refuses: from then on what it has binds.
-    driver.now += BINDS - 1;
+    // It is there again, and refuses: from then on what it has binds. The second before the first call that did not
+    // reach it counts too.
+    driver.now += BINDS - S - 1;
     failed_call(&mut driver, ListKind::Failed);
     assert!(sent(&driver.request(2)).is_some());
     driver.now += 1;
     assert!(refused(&driver.request(3)));
 }
 
+// Guards against a list that is held longer than it may be: before the first call that did not reach discovery, and
+// after one that did, it could be reached, and what it had then binds.
+#[test]
+fn time_in_which_the_list_may_have_been_within_reach_counts() {
+    for (kind, at) in [(ListKind::Unreached, 5 * S), (ListKind::Failed, 3 * S)] {
+        let mut driver = fleet();
+        driver.now += at;
+        failed_call(&mut driver, kind);
+        driver.now = 100 * S + 5 * S;
+        failed_call(&mut driver, ListKind::Unreached);
+        driver.now = 100 * S + BINDS;
+        assert!(refused(&driver.request(1)), "{kind:?}");
+    }
+}
+
 #[test]
 fn where_no_such_time_is_stated_a_list_holds_until_the_next() {
     let mut driver = Driver::new(Settings { binds_after: None, ..settings_that_bind() }, 2);
--- a/crates/pierloom/tests/upgrade.rs
+++ b/crates/pierloom/tests/upgrade.rs
@@ -342,3 +342,28 @@
     at_node.send("m back\r\n");
     assert_eq!(client.line(), "m back\r\n");
 }
+
+// Guards against a yes for a mark that is not written down: the folder's writes fail for a moment, and then the process
+// is killed.
+#[test]
+fn a_mark_that_staff_got_a_yes_for_outlives_writes_that_fail_and_a_kill() {
+    let (folder, node) = (Folder::new("marks"), Node::new("n1"));
+    let entries = [node.entry("ready")];
+    // Its first rename is that of the socket on which the next process would ask.
+    let failing = ["-e", "trace=rename,renameat,renameat2,fsync,fdatasync"];
+    let renames = ["-e", "inject=rename,renameat,renameat2:error=ENOSPC:when=2..4"];
+    let syncs = ["-e", "inject=fsync,fdatasync:error=EIO:when=1..2"];
+    let tracing = [failing, renames, syncs].concat();
+    let (proxy, console) = Proxy::start_in_traced(&folder, &tracing, &entries);
+    yes(console);
+    until(|| folder.file("pierloom-p0.sock").exists().then_some(())).expect("an offer");
+    let since = std::time::Instant::now();
+    assert_eq!(order(console, "n1", "maint"), 200);
+    assert!(since.elapsed() < std::time::Duration::from_secs(1), "each answer is owed within a second");
+    drop(proxy);
+    let (after, console) = Proxy::start_in(&folder, None, &entries);
+    yes(console);
+    assert!(after.open("a").line().starts_with("BUSY"));
+    assert!(node.untouched(), "nothing new goes there");
+    assert_eq!(order(console, "n1", "ready"), 200);
+}
--- a/crates/pierloom/tests/world/mod.rs
+++ b/crates/pierloom/tests/world/mod.rs
@@ -500,7 +500,22 @@
 
     /// Starts with a second address, at that first one (or a free one), in a folder that it shares with the next.
     pub fn start_in(folder: &Folder, listen: Option<SocketAddr>, entries: &[String]) -> (Self, SocketAddr) {
-        let mut command = program(&["serve"]);
+        Proxy::start_beside(program(&["serve"]), folder, listen, entries)
+    }
+
+    /// The same under `strace` with these arguments.
+    pub fn start_in_traced(folder: &Folder, tracing: &[&str], entries: &[String]) -> (Self, SocketAddr) {
+        let mut command = traced(tracing);
+        command.args([env!("CARGO_BIN_EXE_pierloom"), "serve"]);
+        Proxy::start_beside(command, folder, None, entries)
+    }
+
+    fn start_beside(
+        mut command: Command,
+        folder: &Folder,
+        listen: Option<SocketAddr>,
+        entries: &[String],
+    ) -> (Self, SocketAddr) {
         command.env("LB_CONSOLE", "127.0.0.1:0").env("TMPDIR", &folder.0);
         command.envs(listen.map(|listen| ("LB_LISTEN", listen.to_string())));
         // Each has its own config beside what they share.
