Only time known to be out of discovery's reach is given back; marks are written whole or not said yes to

Cause: News::missed gave back the whole gap since the list was told or asked for at any failed connect, also the part in which discovery could be reached; Upgrades::withhold answered yes where write_file failed, and write_file neither synced nor cleaned up.

--- a/crates/decision/src/news.rs
+++ b/crates/decision/src/news.rs
@@ -8,8 +8,9 @@
 pub(crate) struct News {
     /// When it was last told as it stood then, put off by the time in which it could not be had; 0 before any.
     pub told_at: Micros,
-    /// When it was last told or asked for in vain.
-    heard_at: Micros,
+    /// When it was last found out of reach; none once a call came as far as a connection. Between two such calls in a
+    /// row it counts as out of reach, and at no other time.
+    unreached_at: Option<Micros>,
     /// Since when another service is to tell it, put off likewise; none once that one did.
     moved_at: Option<Micros>,
 }
@@ -17,6 +18,7 @@
 impl News {
     /// Enters that the list was told, or was not to be had; whether the latter.
     pub fn missed(&mut self, now: Micros, kind: ListKind) -> bool {
+        let unreached_at = self.unreached_at.take();
         match kind {
             ListKind::Full => (self.told_at, self.moved_at) = (now, None),
             // Changes that the service before still tells are no news of what the new one has.
@@ -24,14 +26,14 @@
             ListKind::Delta => self.told_at = now,
             // What cannot be reached binds nobody.
             ListKind::Unreached => {
-                let gap = now.saturating_sub(self.heard_at);
+                let gap = unreached_at.map_or(0, |at| now.saturating_sub(at));
                 self.told_at += gap;
                 self.moved_at = self.moved_at.map(|at| at + gap);
+                self.unreached_at = Some(now);
             }
             ListKind::Moved => self.moved_at = Some(now),
             ListKind::Failed => {}
         }
-        self.heard_at = now;
         !matches!(kind, ListKind::Full | ListKind::Delta)
     }
 }
--- a/crates/host/src/os.rs
+++ b/crates/host/src/os.rs
@@ -5,7 +5,7 @@
 use crate::{Local, Machine, Micros, Offers, Pass, Signal, Signals, TcpListener, TcpStream};
 use socket2::{Domain, Socket, Type};
 use std::any::Any;
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -70,8 +70,17 @@
 
     fn write_file(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
         let beside = path.with_extension(std::process::id().to_string());
-        std::fs::write(&beside, bytes)?;
-        std::fs::rename(&beside, path)
+        let written = opened_blocking(|| {
+            let mut file = std::fs::File::create(&beside)?;
+            file.write_all(bytes)?;
+            file.sync_all()?;
+            std::fs::rename(&beside, path)
+        });
+        if written.is_err() {
+            // A half-written file beside the good one is of no use to anybody.
+            let _ = std::fs::remove_file(&beside);
+        }
+        written
     }
 
     fn offer(&self, at: &Path) -> io::Result<Offers> {
--- a/crates/host/src/transient.rs
+++ b/crates/host/src/transient.rs
@@ -27,15 +27,7 @@
 
 /// Whether this machine lacked something for the call, so that it tells nothing of whoever was to be reached.
 pub fn of_this_machine(error: &io::Error) -> bool {
-    let own = [
-        Errno::INTR,
-        Errno::MFILE,
-        Errno::NFILE,
-        Errno::NOBUFS,
-        Errno::NOMEM,
-        Errno::ADDRNOTAVAIL,
-        Errno::NOSPC,
-    ];
+    let own = [Errno::INTR, Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
     errno(error).is_some_and(|errno| own.contains(&errno))
 }
 
@@ -52,9 +44,11 @@
     errno(error).is_some_and(|errno| passing.contains(&errno))
 }
 
-/// Whether a call that opens something may succeed a moment later. No route may show for a moment, too.
+/// Whether a call that opens or writes something may succeed a moment later. No route may show for a moment, and a
+/// folder may be full or fail for one.
 fn passing_soon(error: &io::Error) -> bool {
-    of_this_machine(error) || errno(error) == Some(Errno::NETUNREACH)
+    let soon = [Errno::NETUNREACH, Errno::NOSPC, Errno::IO];
+    of_this_machine(error) || errno(error).is_some_and(|errno| soon.contains(&errno))
 }
 
 /// Makes a call that does not wait, again where it fails for a moment.
--- a/crates/proxy/src/console.rs
+++ b/crates/proxy/src/console.rs
@@ -3,7 +3,7 @@
 use crate::config::Fault;
 use crate::core::Core;
 use crate::pending::{Pending, Place};
-use crate::upgrade::Upgrades;
+use crate::upgrade::{Mark, Upgrades};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
@@ -106,7 +106,7 @@
 }
 
 /// What the call is owed.
-fn answer(core: &Core, upgrades: &Upgrades, request: &Request<Incoming>) -> Answer {
+fn answer(core: &Core, upgrades: &Rc<Upgrades>, request: &Request<Incoming>) -> Answer {
     let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
     let get = request.method() == Method::GET;
     match path[..] {
@@ -116,8 +116,12 @@
         ["healthcheck" | "stats"] => wrong_method("GET"),
         ["label-servers", node, order @ ("maint" | "ready")] if request.method() == Method::POST => {
             let (node, withheld) = (percent_decode_str(node).decode_utf8_lossy(), order == "maint");
-            if !upgrades.withhold(&node, withheld) {
-                return said(StatusCode::NOT_FOUND, "no machine list ever named it\n");
+            match upgrades.withhold(&node, withheld) {
+                Mark::Unknown => return said(StatusCode::NOT_FOUND, "no machine list ever named it\n"),
+                Mark::Unwritten => {
+                    return said(StatusCode::SERVICE_UNAVAILABLE, "in force, but not written down yet\n");
+                }
+                Mark::Kept => {}
             }
             tracing::info!(target: "console", "{node}: {order}");
             said(StatusCode::OK, if withheld { "nothing new goes there\n" } else { "in use\n" })
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -25,6 +25,8 @@
 const START: Micros = 6_000_000;
 /// The number of jobs is told this often where it changes; microseconds.
 const STEP: Micros = 100_000;
+/// Pause before what is withheld is written down again, where that failed; microseconds.
+const WRITE_PAUSE: Micros = 1_000_000;
 /// Pause after an offer that failed; microseconds.
 const OFFER_PAUSE: Micros = 1_000_000;
 
@@ -84,6 +86,19 @@
     /// The processes beside this one: the one before, the one after.
     beside: RefCell<Vec<UnboundedSender<Word>>>,
     serving: Cell<bool>,
+    /// What is withheld is not written down yet, and a task tries on.
+    unwritten: Cell<bool>,
+}
+
+/// What came of a call of staff's for a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mark {
+    /// In force, and written down.
+    Kept,
+    /// In force; not written down yet, so that a kill now would forget it.
+    Unwritten,
+    /// Nobody has that backend.
+    Unknown,
 }
 
 /// A file name made of the proxy's name.
@@ -100,7 +115,14 @@
             let base = PathBuf::from(folder).join(file_name(name));
             Place { socket: base.with_extension("sock"), withheld: base.with_extension("withheld") }
         });
-        Rc::new(Upgrades { core, place, front, beside: RefCell::default(), serving: Cell::new(false) })
+        Rc::new(Upgrades {
+            core,
+            place,
+            front,
+            beside: RefCell::default(),
+            serving: Cell::new(false),
+            unwritten: Cell::new(false),
+        })
     }
 
     /// Whether this process can serve.
@@ -163,21 +185,42 @@
         self.core.tell(Event::Withheld(BackendId::from(node), withheld));
     }
 
-    /// Has a backend withheld, or gives it back; false where nobody has it. It is written down, and told to the
-    /// process beside this one, before the yes.
-    pub fn withhold(&self, node: &str, withheld: bool) -> bool {
+    /// Has a backend withheld, or gives it back. It is in force, told to the process beside this one and written down
+    /// before the yes.
+    pub fn withhold(self: &Rc<Self>, node: &str, withheld: bool) -> Mark {
         if !self.core.knows(node) {
-            return false;
+            return Mark::Unknown;
         }
         self.enter(node, withheld);
-        if let Some(place) = &self.place {
-            let nodes = serde_json::to_vec(&self.core.withheld()).unwrap_or_default();
-            if let Err(e) = self.core.host.write_file(&place.withheld, &nodes) {
-                tracing::warn!(target: "upgrade", "{}: {e}", place.withheld.display());
+        self.beside.borrow_mut().retain(|one| one.send(Word::Withheld(node.to_string(), withheld)).is_ok());
+        if self.write_withheld() {
+            return Mark::Kept;
+        }
+        if !self.unwritten.replace(true) {
+            self.core.host.spawn(self.clone().write_until_written());
+        }
+        Mark::Unwritten
+    }
+
+    /// Writes down what is withheld, where a next process may look for it; false where that fails.
+    fn write_withheld(&self) -> bool {
+        let Some(place) = &self.place else { return true };
+        let nodes = serde_json::to_vec(&self.core.withheld()).unwrap_or_default();
+        let written = self.core.host.write_file(&place.withheld, &nodes);
+        if let Err(e) = &written {
+            tracing::warn!(target: "upgrade", "{}: {e}", place.withheld.display());
+        }
+        written.is_ok()
+    }
+
+    /// Goes on trying: what is in force is written down as soon as the folder takes it.
+    async fn write_until_written(self: Rc<Self>) {
+        loop {
+            self.core.deadlines.until(self.core.now() + WRITE_PAUSE).await;
+            if self.write_withheld() {
+                return self.unwritten.set(false);
             }
         }
-        self.beside.borrow_mut().retain(|one| one.send(Word::Withheld(node.to_string(), withheld)).is_ok());
-        true
     }
 
     /// What this process has to tell another one from now on.
