--- a/crates/decision/src/experience.rs
+++ b/crates/decision/src/experience.rs
@@ -39,6 +39,35 @@
     backends: BTreeMap<String, Known>,
 }
 
+/// How far one clock is before another; microseconds.
+pub type ClockOffset = i64;
+
+/// A time of a clock, by one that is so far before it; what never was stays so.
+pub fn moved(at: Micros, by: ClockOffset) -> Micros {
+    if at == 0 { 0 } else { at.saturating_add_signed(by) }
+}
+
+impl Experience {
+    /// The same by a clock that is so far before the one by which its times were written.
+    pub fn moved(mut self, by: ClockOffset) -> Self {
+        self.since = self.since.map(|at| moved(at, by));
+        self.told_at = self.told_at.map(|at| moved(at, by));
+        self.turns.iter_mut().for_each(|(at, _)| *at = moved(*at, by));
+        for known in self.backends.values_mut() {
+            let times = [
+                &mut known.started,
+                &mut known.failed_at,
+                &mut known.cut_at,
+                &mut known.slow_until,
+                &mut known.shed_until,
+                &mut known.tokens_at,
+            ];
+            times.into_iter().for_each(|at| *at = moved(*at, by));
+        }
+        self
+    }
+}
+
 impl Balancer {
     /// What it has learned so far.
     pub fn experience(&self) -> Experience {
@@ -85,7 +114,8 @@
         for (name, known) in learned.backends {
             let Some(&i) = self.index.get(name.as_str()) else { continue };
             let backend = &mut self.backends[i];
-            backend.started = backend.started.max(known.started);
+            // It comes with the list that it goes with, and was not read by a clock that may be wrong.
+            backend.started = known.started;
             (backend.failures, backend.failed_at) = (known.failures, known.failed_at);
             (backend.ceiling, backend.cut_at) = (known.ceiling.unwrap_or(f64::INFINITY), known.cut_at);
             (backend.slow_until, backend.shed_until) = (known.slow_until, known.shed_until);
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -30,7 +30,7 @@
 mod table;
 
 pub use api::*;
-pub use experience::Experience;
+pub use experience::{ClockOffset, Experience, moved};
 pub use logic::Balancer;
 
 /// Keeps the example in the README compiling and running.
--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -180,6 +180,7 @@
             let i = self.enter(member, now);
             self.backends[i].unproven |= i >= known;
         }
+        self.listed_at = Some(now);
         // To be withdrawn is testimony: where that does not bind it asks for a trial, unless it serves us.
         for i in self.withdraw(now) {
             self.backends[i].unproven |= self.backends[i].standing.is_empty();
@@ -695,7 +696,8 @@
         let backend = &mut self.backends[i];
         if backend.lost {
             // Guards against a restart that the late list has not told: back from the dead means cold.
-            backend.start(backend.started.max(now), now);
+            backend.start(now, now);
+            backend.seen_new = true;
         }
         let failures = backend.failures(now, FAILURE_HALF_LIFE) * SUCCESS_LEAVES;
         (backend.failures, backend.failed_at) = (failures, now);
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -20,6 +20,10 @@
 /// Entries stay until a size has moved by this factor: late weights swing by less; no unit.
 const SIZE_SLACK: f64 = 1.1;
 
+/// A list may tell of a start so long after it; microseconds. Where a clock is wrong, a backend counts as that much
+/// warmer than it is at most: a third to a half of its capacity in a warm-up of nine seconds, within what
+/// [`crate::logic::COLD_PART`] leaves.
+const LATENESS: Micros = 2_000_000;
 /// Part of the cold budget where it is saved: what one window left and what the next brings may come in one.
 const BUCKET_PART: f64 = 0.5;
 
@@ -67,8 +71,10 @@
     pub withdrawn_at: Micros,
     /// Every connection of ours there broke, the last one too, and none was made since.
     pub lost: bool,
-    /// Start of its process as listed or observed; 0 for long ago.
+    /// Start of its process as listed or observed, by our clock; 0 for long ago.
     pub started: Micros,
+    /// It was observed, and no list told of it yet.
+    pub seen_new: bool,
     pub tokens: f64,
     pub tokens_at: Micros,
 }
@@ -101,6 +107,7 @@
             withdrawn_at: Micros::MAX,
             lost: false,
             started: 0,
+            seen_new: false,
             tokens: 0.0,
             tokens_at: now,
         }
@@ -125,6 +132,14 @@
         self.planned = false;
     }
 
+    /// When a process started that the list newly tells of, by our clock. The clock that it is told by may be another
+    /// one than ours, and either may be wrong: it started before now, and not before the list that did not tell of it
+    /// yet. One that we saw to be new before the list told is the same.
+    fn told_start(&mut self, told: Micros, now: Micros, listed_at: Option<Micros>) -> Micros {
+        let earliest = if std::mem::take(&mut self.seen_new) { None } else { listed_at };
+        told.max(earliest.unwrap_or(0).saturating_sub(LATENESS)).min(now)
+    }
+
     /// A new process: old evidence is void.
     pub fn renew(&mut self, started: Micros, now: Micros) {
         self.start(started, now);
@@ -247,6 +262,8 @@
     pub(crate) asking: bool,
     /// How far the list is known.
     pub(crate) news: News,
+    /// When it was last entered; none before the first.
+    pub(crate) listed_at: Option<Micros>,
     /// The limit on set-ups while they fail everywhere alike.
     pub(crate) set_up_limit: SetUpLimit,
     /// Calls to the list service in a row that failed.
@@ -476,18 +493,22 @@
             let withheld = self.withheld.contains(&member.backend);
             self.backends.push(Backend { withheld, withheld_at: now, ..Backend::new(member, now) });
         }
+        let (new, listed_at) = (i == next, self.listed_at);
         let backend = &mut self.backends[i];
-        let planned = i == next || backend.closed();
-        backend.member = member.clone();
+        let planned = new || backend.closed();
+        let told_before = std::mem::replace(&mut backend.member, member.clone()).started;
         match member.state {
             MemberState::Ready => backend.drained = false,
             MemberState::Draining => backend.drained = true,
             // A later list may only have forgotten that it drains.
             MemberState::Gone => {}
         }
-        if member.started > backend.started {
-            backend.renew(member.started, now);
-            backend.planned = planned;
+        if member.started > 0 && (new || member.started != told_before) {
+            let started = backend.told_start(member.started, now, listed_at);
+            if started > backend.started {
+                backend.renew(started, now);
+                backend.planned = planned;
+            }
         }
         i
     }
@@ -513,6 +534,7 @@
         }
         let told = Some(self.backends[i].started).filter(|&at| at > self.backends[i].withheld_at);
         self.backends[i].renew(told.unwrap_or(now), now);
+        self.backends[i].seen_new = told.is_none();
         (self.backends[i].planned, self.backends[i].recalled) = (true, true);
         let share = self.cold_share(i, now).unwrap_or(1.0);
         self.backends[i].tokens = self.by_size(i, share, 0.0).min(1.0);
@@ -668,6 +690,7 @@
             vain_probes: 0,
             asking: false,
             news: News::default(),
+            listed_at: None,
             set_up_limit: SetUpLimit::new(seed, many),
             calls: 0,
             stopping: false,
--- a/crates/decision/tests/starts.rs
+++ b/crates/decision/tests/starts.rs
@@ -67,3 +67,22 @@
     let cold = taken(&mut d, 2_000);
     assert!(warm >= 15 && cold <= 8, "{warm} while warm, {cold} after its start");
 }
+
+// Two processes at an upgrade have clocks of their own: the machine's may have been set between their starts.
+#[test]
+fn what_another_process_learned_keeps_its_age_whatever_its_clock_says() {
+    for clocks_apart in [-(HOUR as i64), 0, HOUR as i64] {
+        let settings = Settings { binds_after: Some(6 * S), ask_for_list: true, ..settings() };
+        let mut before = Driver { balancer: Balancer::new(settings.clone(), 7).unwrap(), now: 10 * HOUR };
+        before.list(ListKind::Full, members(3));
+        before.now += 5 * S;
+        let learned = before.balancer.experience().moved(clocks_apart);
+        let now = (before.now as i64 + clocks_apart) as Micros;
+        let mut after = Driver { balancer: Balancer::new(settings, 8).unwrap(), now };
+        after.list(ListKind::Full, members(3));
+        after.event(Event::Inherited(Box::new(learned)));
+        assert!(sent(&after.request(1)).is_some(), "{clocks_apart}: the list is five seconds old");
+        after.now += S;
+        assert!(refused(&after.request(2)), "{clocks_apart}: it is six seconds old");
+    }
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::core::{Core, Order, Seat};
 use crate::front::{Front, Reply};
 use crate::stream::{ENDING, LONGEST_LINE, answer};
-use pierloom_decision::{BackendId, Event, Micros, Note, Status};
+use pierloom_decision::{BackendId, ClockOffset, Event, Micros, Note, Status, moved};
 use pierloom_host::{Interest, TcpStream};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -98,6 +98,14 @@
     waiting: VecDeque<Micros>,
 }
 
+impl Flow {
+    /// The same by a clock that is so far before the one by which its times were written.
+    pub fn moved(mut self, by: ClockOffset) -> Self {
+        self.waiting.iter_mut().for_each(|since| *since = moved(*since, by));
+        self
+    }
+}
+
 /// A connection that is up: both its sides, and what is under way between them.
 pub struct Standing {
     pub client: TcpStream,
@@ -157,7 +165,7 @@
             reply @ (Reply::Bye | Reply::Move) => *said = Some(reply),
             _ => {
                 if let Some(since) = waiting.pop_front() {
-                    delay = Some(now - since);
+                    delay = Some(now.saturating_sub(since));
                     self.next_silent = waiting.front().map_or(Micros::MAX, |at| (at + SILENT_STEP).max(now));
                 }
             }
@@ -175,8 +183,9 @@
         let Some(&since) = self.flow.waiting.front() else { return };
         let now = self.core.now();
         self.next_silent = now + SILENT_STEP;
-        self.core.note_delay(self.seat.id, self.node_id, now - since);
-        self.core.tell(Event::Noted(self.seat.id, Note::Silent(now - since)));
+        let silent_for = now.saturating_sub(since);
+        self.core.note_delay(self.seat.id, self.node_id, silent_for);
+        self.core.tell(Event::Noted(self.seat.id, Note::Silent(silent_for)));
     }
 
     /// When the relay has to look again though nothing comes.
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -7,7 +7,7 @@
 use crate::listener::Listener;
 use crate::relay::{Flow, Standing};
 use crate::source::discovery::Roster;
-use pierloom_decision::{BackendId, Event, Experience, Micros};
+use pierloom_decision::{BackendId, ClockOffset, Event, Experience, Micros};
 use pierloom_host::{Pass, Socket, TcpListener};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -56,6 +56,10 @@
 /// What a process hands over.
 #[derive(Serialize, Deserialize)]
 struct State {
+    /// The time by the clock of the process that hands over, by which all its times are. Each process has a clock of its
+    /// own: that of the machine may have been set between their starts. None from a version that did not say.
+    #[serde(default)]
+    clock: Option<Micros>,
     withheld: Vec<String>,
     /// The machine list as it stands.
     list: Roster,
@@ -86,6 +90,8 @@
     /// The processes beside this one: the one before, the one after.
     beside: RefCell<Vec<UnboundedSender<Word>>>,
     serving: Cell<bool>,
+    /// How far this process's clock is before that of the process before.
+    clock_offset: Cell<ClockOffset>,
     /// What is withheld is not written down yet, and a task tries on.
     unwritten: Cell<bool>,
 }
@@ -121,6 +127,7 @@
             front,
             beside: RefCell::default(),
             serving: Cell::new(false),
+            clock_offset: Cell::new(0),
             unwritten: Cell::new(false),
         })
     }
@@ -133,6 +140,7 @@
     /// Takes over from the process that runs, if there is one, and has withheld what staff withheld before.
     pub async fn take_over(&self) -> Option<Inherited> {
         let place = self.place.as_ref()?;
+        let asked_at = self.core.now();
         let asked = async {
             let pass = self.core.host.ask(&place.socket).await?;
             let Word::State(state) = read(pass.hear().await?)? else {
@@ -147,7 +155,11 @@
             () = self.core.deadlines.until(self.core.now() + ANSWER) => Err(io::ErrorKind::TimedOut.into()),
         };
         match answer {
-            Ok((pass, listener, State { withheld, list, learned, jobs })) => {
+            Ok((pass, listener, State { clock, withheld, list, learned, jobs })) => {
+                // It was read after it was asked for: nothing counts as younger than it is.
+                let offset = clock.map_or(0, |clock| asked_at as ClockOffset - clock as ClockOffset);
+                self.clock_offset.set(offset);
+                let learned = learned.moved(offset);
                 tracing::info!(target: "upgrade", "takes over from the process that runs, which holds {jobs} jobs");
                 withheld.iter().for_each(|node| self.enter(node, true));
                 Some(Inherited { listener, list, learned, jobs, pass })
@@ -307,6 +319,7 @@
 
     fn adopt(&self, pass: &Pass, connection: Connection, flow: Flow) -> bool {
         let (Ok(client), Ok(node)) = (pass.stream(), pass.stream()) else { return false };
+        let flow = flow.moved(self.clock_offset.get());
         job::adopt(&self.core, self.front.clone(), connection, Standing { client, node, flow })
     }
 
@@ -314,6 +327,7 @@
     async fn hand_over(&self, pass: &Pass, listener: &Listener, list: &RefCell<Roster>) {
         let mut tells = self.tells();
         let state = State {
+            clock: Some(self.core.now()),
             withheld: self.core.withheld(),
             list: list.borrow().clone(),
             learned: self.core.experience(),
