--- a/crates/pierloom/tests/syscalls.rs
+++ b/crates/pierloom/tests/syscalls.rs
@@ -82,3 +82,24 @@
     all_served("socket", "socket", &["ENFILE", "ENOBUFS"]);
     all_served("connect", "connect", &["EINTR", "EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS"]);
 }
+
+// Guards against a signal that ends the process, or is lost, since the calls by which it wakes the process fail.
+#[test]
+fn signals_are_heeded_though_reads_and_writes_are_interrupted() {
+    let entries = [entry("n", echoing_backend(), "ready")];
+    for (first, step) in [(9, 2), (10, 2), (1, 1)] {
+        // The last makes every write of more than a handler's fail: nothing is served, and the signal is heeded.
+        let calls = if step == 1 { "sendto" } else { "recvfrom,sendto,read,write" };
+        let first = if step == 1 { first } else { first + 40 };
+        let inject = format!("inject={calls}:error=EINTR:when={first}+{step}");
+        let tracing = ["-e", &format!("trace={calls}"), "-e", &inject];
+        let mut proxy = Proxy::start_traced("calls-signal", &tracing, &entries, SETTINGS);
+        for _ in 0..5 {
+            proxy.signal("-HUP");
+            thread::sleep(std::time::Duration::from_millis(20));
+        }
+        proxy.signal("-TERM");
+        let status = proxy.exit();
+        assert!(status.success(), "{calls} {first}+{step}: {status:?}");
+    }
+}
