A signal no longer ends the process where the read that follows it is interrupted

Change: host/task.rs handles signals by signal-hook, a flag and a socket that wakes; the flag is looked at each quarter of a second too, as a failed call may lose the wake.

--- a/crates/host/src/os.rs
+++ b/crates/host/src/os.rs
@@ -1,15 +1,15 @@
 //! The real machine, on tokio.
 
-use crate::task::Source;
+use crate::task::{Arrivals, Source};
 use crate::transient::{opened, opened_blocking};
 use crate::{Local, Machine, Micros, Offers, Pass, Signal, Signals, TcpListener, TcpStream};
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use socket2::{Domain, Socket, Type};
 use std::any::Any;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::signal::unix::{SignalKind, signal};
 
 /// The clock is the Unix time at the start, carried on by one that never steps.
 pub struct Os {
@@ -57,11 +57,12 @@
     }
 
     fn signals(&self, which: Signal) -> io::Result<Signals> {
-        let kind = match which {
-            Signal::Hangup => SignalKind::hangup(),
-            Signal::Terminate => SignalKind::terminate(),
+        let number = match which {
+            Signal::Hangup => SIGHUP,
+            Signal::Terminate => SIGTERM,
         };
-        Ok(Signals(Source::Os(signal(kind)?)))
+        let arrivals = opened_blocking(|| Arrivals::of(number))?;
+        Ok(Signals(Source::Os(arrivals)))
     }
 
     fn read_file(&self, path: &Path) -> io::Result<Vec<u8>> {
--- a/crates/host/src/task.rs
+++ b/crates/host/src/task.rs
@@ -1,9 +1,14 @@
 //! Tasks whose panics stay with them, and streams of signals.
 
 use std::future::Future;
+use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::UnixStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 
@@ -52,11 +57,51 @@
     }
 }
 
+/// A signal of the real machine. Its handler sets a flag and then writes to a socket that wakes whoever waits; the flag is
+/// looked at now and then too, as a call that fails may lose the wake. Guards against tokio's own, which ends the process
+/// when the read that follows a signal is interrupted.
+pub(crate) struct Arrivals {
+    arrived: Arc<AtomicBool>,
+    wakes: UnixStream,
+}
+
+impl Arrivals {
+    /// Handles that signal from now on.
+    pub fn of(number: i32) -> io::Result<Self> {
+        let arrived = Arc::new(AtomicBool::new(false));
+        let (waker, wakes) = std::os::unix::net::UnixStream::pair()?;
+        wakes.set_nonblocking(true)?;
+        let wakes = UnixStream::from_std(wakes)?;
+        // In this order: whoever is woken finds the flag set.
+        signal_hook::flag::register(number, arrived.clone())?;
+        signal_hook::low_level::pipe::register(number, waker)?;
+        Ok(Arrivals { arrived, wakes })
+    }
+
+    async fn next(&mut self) {
+        while !self.arrived.swap(false, Ordering::Relaxed) {
+            tokio::select! {
+                biased;
+                _ = self.wakes.readable() => {
+                    // What it brings, or that it brought nothing, tells no more than the flag does.
+                    let _ = self.wakes.try_read(&mut [0; WAKES]);
+                }
+                () = tokio::time::sleep(LOOK) => {}
+            }
+        }
+    }
+}
+
+/// So many wakes are read at once.
+const WAKES: usize = 64;
+/// A signal whose wake was lost is found within this.
+const LOOK: Duration = Duration::from_millis(250);
+
 /// A signal's arrivals; several that come close together may count as one.
 pub struct Signals(pub(crate) Source);
 
 pub(crate) enum Source {
-    Os(tokio::signal::unix::Signal),
+    Os(Arrivals),
     Made(UnboundedReceiver<()>),
 }
 
@@ -69,7 +114,10 @@
     /// Waits for the next arrival; none when no more can come.
     pub async fn recv(&mut self) -> Option<()> {
         match &mut self.0 {
-            Source::Os(signal) => signal.recv().await,
+            Source::Os(arrivals) => {
+                arrivals.next().await;
+                Some(())
+            }
             Source::Made(arrivals) => arrivals.recv().await,
         }
     }
