A client's end is looked for in the kernel before a request is written

What callers saw: the request of a client that had left was still sent to a backend, later than the 0.1 s that are allowed where the process was paused.

Cause: interruption_now used the runtime's try_read, which answers WouldBlock without a system call where the last poll found nothing. The end that arrives between that poll and the write is not seen, for as long as a pause of the process lasts.

Change: TcpStream::try_read_unpolled always makes the system call; interruption_now uses it before the write of a request, of a resumed connection's request, and now also before the connect.

Ruled out: a line written in two parts (it fits into the send buffer of a new connection); the relay, which writes no requests.

--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -4,7 +4,7 @@
 use crate::retry::{accept_with_retry, retry_immediately};
 use socket2::SockRef;
 use std::future::poll_fn;
-use std::io;
+use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
@@ -111,6 +111,16 @@
         }
     }
 
+    /// Reads like `try_read`, but always asks the operating system. `try_read` may answer `WouldBlock` without
+    /// a system call, if the last poll of the runtime found nothing to read. It then misses what has arrived
+    /// since that poll, which may be long ago if the process was paused.
+    pub fn try_read_unpolled(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        match &self.0 {
+            Stream::Os(stream) => retry_immediately(|| (&*SockRef::from(stream)).read(buffer)),
+            Stream::Simulated(io) => io.try_read(buffer),
+        }
+    }
+
     /// Writes as many bytes as there is space for. Returns `WouldBlock` if there is no space.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         match &self.0 {
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -44,7 +44,7 @@
     let connection = loop {
         let command = tokio::select! {
             biased;
-            // Polled first: no attempt starts for a client that has left, even if a command is ready as well.
+            // Polled first: a client that has left is noticed even if a command is ready as well.
             interruption = wait_for_interruption(&client) =>
                 return end_interrupted(&core, &*protocol, request_handle, client, interruption).await,
             command = request_handle.commands.recv() => command.unwrap_or(RequestCommand::Fail),
@@ -54,6 +54,10 @@
         };
         match command {
             RequestCommand::Attempt { backend, until } => {
+                // No connection is opened for a client that has left.
+                if let Some(interruption) = interruption_now(&client) {
+                    return end_interrupted(&core, &*protocol, request_handle, client, interruption).await;
+                }
                 request_handle.start_attempt();
                 let (id, late_interruption) = (request_handle.id, Cell::new(None));
                 // Guards against changes while the proxy was connecting: a drain of the backend may
@@ -266,9 +270,10 @@
     }
 }
 
-/// Checks, without waiting, for an event on the client's connection that ends the wait for an answer.
+/// Checks, without waiting, for an event on the client's connection that ends the wait for an answer. Finds
+/// events that the runtime has not polled yet.
 fn interruption_now(client: &TcpStream) -> Option<Interruption> {
-    match client.try_read(&mut [0; MAX_LINE_BYTES]) {
+    match client.try_read_unpolled(&mut [0; MAX_LINE_BYTES]) {
         Ok(0) => Some(Interruption::SendingEnded),
         Ok(_) => Some(Interruption::UnexpectedData),
         Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
