Sockets are polled before a time limit that has passed is acted on

What callers saw: after a pause of the process, ERR for a request that its backend had accepted in time, and MOVE in place of an answer that the backend had sent on an established connection.

Cause: a process that is stopped in its wait for sockets resumes with EINTR. The runtime then learns nothing of its sockets in that turn and finds the timers that are due, so the time limit counts before the answer that lay in the socket all the time.

Change: Deadlines::wait_due lets the sockets be polled once more when a timer is due, and then handles the timers that were due before that poll (Machine::sockets_polled). Tasks that a socket woke run first.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -47,6 +47,11 @@
     fn now(&self) -> Micros;
     /// Completes at the time `at` or soon after it.
     fn sleep_until(&self, at: Micros) -> Local<'static, ()>;
+    /// Completes once the sockets were polled after this call and the tasks that wait for them were woken. The
+    /// default implementation completes at once, for a machine whose sockets wake their tasks immediately.
+    fn sockets_polled(&self) -> Local<'static, ()> {
+        Box::pin(std::future::ready(()))
+    }
     /// Runs a task concurrently with all others. The task ends with the process at the latest.
     fn spawn(&self, task: Local<'static, ()>);
     /// Connects to `address`. The future leaves nothing open when it is dropped early.
@@ -106,6 +111,11 @@
         self.0.sleep_until(at).await;
     }
 
+    /// Completes once the sockets were polled after this call and the tasks that wait for them were woken.
+    pub async fn sockets_polled(&self) {
+        self.0.sockets_polled().await;
+    }
+
     /// Runs a task concurrently with all others. A panic ends that task and no other.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) -> TaskHandle {
         let (task, handle) = task::catch_panics(task);
--- a/crates/host/src/os.rs
+++ b/crates/host/src/os.rs
@@ -37,6 +37,11 @@
         Box::pin(tokio::time::sleep(Duration::from_micros(at.saturating_sub(self.now()))))
     }
 
+    fn sockets_polled(&self) -> Local<'static, ()> {
+        // The runtime resumes a task that yields only after it has polled the sockets.
+        Box::pin(tokio::task::yield_now())
+    }
+
     fn spawn(&self, task: Local<'static, ()>) {
         tokio::task::spawn_local(task);
     }
--- a/crates/pierloom/tests/paused_process.rs
+++ b/crates/pierloom/tests/paused_process.rs
@@ -66,3 +66,60 @@
     let (_at_backend, line) = backend.accept_first_line();
     assert!(line.starts_with("OPEN 0ak "), "{line:?} on the first connection");
 }
+
+// Guards against a connection to a backend that is opened, because of a timer, for a client that left while
+// the process was suspended.
+#[test]
+fn a_client_that_left_during_a_suspension_has_no_connection_opened() {
+    let backend = Backend::new("n");
+    let settings = SETTINGS.replace("\"max-attempts\"", "\"may-probe\":true,\"max-attempts\"");
+    let proxy = Proxy::start_with_settings("pause-timer", 1024, &[backend.entry("ready")], &settings);
+    let waiting = proxy.send_request("a");
+    let (_unanswered_probe, line) = backend.accept_first_line();
+    assert_eq!(line, "STATS\r\n");
+    proxy.suspend();
+    drop(waiting);
+    thread::sleep(PAUSE);
+    proxy.resume();
+    let _next_client = proxy.send_request("b");
+    let (_at_backend, line) = backend.accept_first_line();
+    assert!(!line.is_empty(), "the proxy opened a connection and sent nothing");
+}
+
+/// Longer than the time limit of an attempt under `SETTINGS`, which is a third of the client's waiting time.
+const SUSPENSION_PAST_ATTEMPT_LIMIT: Duration = Duration::from_millis(1_700);
+
+// Guards against timers that are handled before the sockets are polled when a suspended process resumes: an
+// answer that arrived in time would be taken for missing, and the request would fail although it was served.
+#[test]
+fn an_answer_that_arrived_during_a_suspension_counts_before_the_time_limit_that_ended_in_it() {
+    let backend = Backend::new("n");
+    let settings = SETTINGS.replace("\"repeatable\",\"group\":\"all\"", "\"once\"");
+    let proxy = Proxy::start_with_settings("pause-answer", 1024, &[backend.entry("ready")], &settings);
+    let mut client = proxy.send_request("k");
+    let (mut at_backend, _) = backend.accept_first_line();
+    proxy.suspend();
+    at_backend.send("UP r\r\n");
+    thread::sleep(SUSPENSION_PAST_ATTEMPT_LIMIT);
+    proxy.resume();
+    assert_eq!(client.line(), "UP r\r\n");
+}
+
+/// Longer than a message may stay unanswered before the proxy moves its client.
+const SUSPENSION_PAST_MESSAGE_LIMIT: Duration = Duration::from_millis(3_000);
+
+// Guards against a move that discards an answer: the backend answered while the process was suspended, and the
+// message counted as unanswered when the process resumed.
+#[test]
+fn a_message_that_was_answered_during_a_suspension_is_not_taken_for_unanswered() {
+    let backends = [Backend::new("n0"), Backend::new("n1")];
+    let proxy = Proxy::start("pause-message", &[&backends[0], &backends[1]]);
+    let (mut client, mut at_backend) = proxy.establish_at_any("k", &backends);
+    client.send("m\r\n");
+    assert_eq!(at_backend.line(), "m\r\n");
+    proxy.suspend();
+    at_backend.send("m\r\n");
+    thread::sleep(SUSPENSION_PAST_MESSAGE_LIMIT);
+    proxy.resume();
+    assert_eq!(client.line(), "m\r\n");
+}
--- a/crates/proxy/src/deadlines.rs
+++ b/crates/proxy/src/deadlines.rs
@@ -69,7 +69,12 @@
             let first = self.entries.borrow().first_key_value().map(|(&(at, _), _)| at);
             let now = self.now();
             match first {
-                Some(at) if at <= now => return self.take_due(now),
+                Some(at) if at <= now => {
+                    // What arrived before a time limit counts, even if the process was paused and has not
+                    // polled its sockets since.
+                    self.host.sockets_polled().await;
+                    return self.take_due(now);
+                }
                 Some(at) => {
                     tokio::select! {
                         biased;
