Each proxy of a test has a config folder of its own

What was seen: six copies of a_request_whose_client_has_left_reaches_no_backend at once, each in its own process: some failed at the check of the first request, others waited for a connection for 20 minutes.

Cause: the folder of a proxy's config was named by the test alone, so copies of a test in one checkout wrote, read and removed the same file. A proxy with the config of another copy used that copy's backend.

Change: a folder for each call, by process id and number, removed with the value. The same for the temporary files of the lab's tests.

--- a/crates/lab/tests/seeds.rs
+++ b/crates/lab/tests/seeds.rs
@@ -18,9 +18,9 @@
     String::from_utf8_lossy(bytes).into_owned()
 }
 
-/// The path of a file in the tests' temporary folder.
+/// The path of a file in the tests' temporary folder. No other process that runs at the same time uses it.
 fn temporary_file(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()))
 }
 
 /// Guards against a broken rule in any of 200 generated scripts, and against runs on several threads that
--- a/crates/pierloom/tests/harness/mod.rs
+++ b/crates/pierloom/tests/harness/mod.rs
@@ -425,7 +425,7 @@
     pub discovery: Discovery,
     log: Receiver<String>,
     config: String,
-    config_path: std::path::PathBuf,
+    config_path: ConfigFile,
 }
 
 /// The environment variables that the program reads.
@@ -476,13 +476,45 @@
     }
 }
 
-/// Writes a config file into its own folder.
-pub fn write_config_file(name: &str, text: &str) -> std::path::PathBuf {
-    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+/// A config file in its own folder, which is removed when the value is dropped.
+pub struct ConfigFile(std::path::PathBuf);
+
+impl std::ops::Deref for ConfigFile {
+    type Target = std::path::Path;
+
+    fn deref(&self) -> &std::path::Path {
+        &self.0
+    }
+}
+
+impl AsRef<std::path::Path> for ConfigFile {
+    fn as_ref(&self) -> &std::path::Path {
+        &self.0
+    }
+}
+
+impl AsRef<std::ffi::OsStr> for ConfigFile {
+    fn as_ref(&self) -> &std::ffi::OsStr {
+        self.0.as_ref()
+    }
+}
+
+impl Drop for ConfigFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(self.0.parent().unwrap());
+    }
+}
+
+/// Writes a config file into its own folder. No other call, in this process or another one that runs at the
+/// same time, uses that folder.
+pub fn write_config_file(name: &str, text: &str) -> ConfigFile {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let (process, number) = (std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{process}-{number}"));
     std::fs::create_dir_all(&folder).unwrap();
     let path = folder.join("config.json");
     std::fs::write(&path, text).unwrap();
-    path
+    ConfigFile(path)
 }
 
 /// The text of a config file with this discovery address, descriptor limit, endpoint entries and settings.
@@ -590,9 +622,7 @@
         command.env("LB_CONSOLE", "127.0.0.1:0").env("TMPDIR", &folder.0);
         command.envs(listen.map(|listen| ("LB_LISTEN", listen.to_string())));
         // Each process has its own config file outside the shared folder.
-        static NUMBER: AtomicUsize = AtomicUsize::new(0);
-        let name = format!("upgrade-{}", NUMBER.fetch_add(1, Ordering::Relaxed));
-        let proxy = Proxy::start_command(command, &name, 1024, entries, SETTINGS);
+        let proxy = Proxy::start_command(command, "upgrade", 1024, entries, SETTINGS);
         let line = proxy.next_log_line();
         let console = line.rsplit(' ').next().unwrap().parse().expect(&line);
         (proxy, console)
@@ -708,7 +738,7 @@
     fn replace_config(&self, text: &str) {
         let new = self.config_path.with_extension("new");
         std::fs::write(&new, text).unwrap();
-        std::fs::rename(&new, &self.config_path).unwrap();
+        std::fs::rename(&new, &*self.config_path).unwrap();
     }
 
     /// Reloads with another discovery service. Returns the previous one.
@@ -748,6 +778,5 @@
         // The process may have exited already.
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(self.config_path.parent().unwrap());
     }
 }
