A relay polls its sockets before one of its time limits counts

What callers saw: MOVE in place of an answer that the backend had sent, where the process was paused right after it had sent a client's message on.

Cause: besides its timer the relay compares the clock with its limits in its own loop. After a pause between its write and that look, the message counted as unanswered although the answer lay in the socket.

Change: where a limit has passed, relay::run has the sockets polled, reads them again, and only then acts on it. That covers its three limits: unanswered messages, half-closed connections and lines that are not completed.

--- a/crates/pierloom/tests/paused_process.rs
+++ b/crates/pierloom/tests/paused_process.rs
@@ -6,7 +6,7 @@
 #[allow(dead_code)] // each test program uses only a part of the harness
 mod harness;
 
-use harness::{Backend, Peer, Proxy, SETTINGS};
+use harness::{Backend, Peer, Proxy, SETTINGS, poll_until};
 use std::thread;
 use std::time::Duration;
 
@@ -18,10 +18,14 @@
 /// Starts a proxy that pauses at each of these system calls. `call` is `NAME:delay_enter` for a pause before the
 /// call, or `NAME:delay_exit` for one after it.
 fn start_pausing_at(name: &str, call: &str, backend: &Backend) -> Proxy {
+    start_pausing_for(PAUSE, name, call, &[backend.entry("ready")], SETTINGS)
+}
+
+fn start_pausing_for(pause: Duration, name: &str, call: &str, entries: &[String], settings: &str) -> Proxy {
     let (traced, _) = call.split_once(':').unwrap();
-    let inject = format!("inject={call}={}", PAUSE.as_micros());
+    let inject = format!("inject={call}={}", pause.as_micros());
     let tracing = ["-e", &format!("trace={traced}"), "-e", &inject];
-    Proxy::start_traced(name, &tracing, &[backend.entry("ready")], SETTINGS)
+    Proxy::start_traced(name, &tracing, entries, settings)
 }
 
 /// Lets the client leave while the proxy is paused. Returns what the proxy then writes to the backend.
@@ -123,3 +127,29 @@
     proxy.resume();
     assert_eq!(client.line(), "m\r\n");
 }
+
+// Guards against the same where the process is paused right after it has sent the message on.
+#[test]
+fn a_message_that_was_answered_during_a_pause_after_its_write_is_not_taken_for_unanswered() {
+    let backends = [Backend::new("n0"), Backend::new("n1")];
+    let entries = backends.each_ref().map(|backend| backend.entry("ready"));
+    // With a long deadline the answer to the request comes in time in spite of the pauses.
+    let settings = SETTINGS.replace("\"deadline\":4.8", "\"deadline\":30.0");
+    let proxy = start_pausing_for(
+        SUSPENSION_PAST_MESSAGE_LIMIT,
+        "pause-sent",
+        "sendto:delay_exit",
+        &entries,
+        &settings,
+    );
+    let mut client = proxy.client();
+    client.send("OPEN 0ak k c=feed,d=30000\r\n");
+    let accept = || backends.iter().find_map(Backend::try_accept_first_line);
+    let (mut at_backend, _) = poll_until(accept).expect("an attempt");
+    at_backend.send("UP r\r\n");
+    assert_eq!(client.line(), "UP r\r\n");
+    client.send("m\r\n");
+    assert_eq!(at_backend.line(), "m\r\n");
+    at_backend.send("m\r\n");
+    assert_eq!(client.line(), "m\r\n");
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -325,6 +325,8 @@
         relay.record_backend_lines();
     }
     relay.state.to_client.buffer.splice(..0, first_answer);
+    // The check for which the sockets were polled once more.
+    let mut polled_for = None;
     loop {
         match relay.transfer(&client, &backend) {
             Ok(()) => {}
@@ -343,6 +345,12 @@
         if relay.state.to_backend.passed_end && relay.state.to_client.passed_end {
             return end_with(relay.end_reason());
         }
+        let next_check = relay.next_check();
+        if now >= next_check && polled_for.replace(next_check) != Some(next_check) {
+            // What arrived before a time limit counts, even if the process was paused after its last poll.
+            core.host.sockets_polled().await;
+            continue;
+        }
         if relay.ended_at.is_none() && (relay.state.to_backend.ended || relay.state.to_client.ended) {
             relay.ended_at = Some(now);
         }
