Every wait of the tests' harness has an end

What was seen: copies of a test hung for 20 minutes in an accept of the harness, without a message.

Cause: FullQueueBackend accepted without a time limit. The accepts and reads of handovers, two loops over their messages, the poll of the health check, the opening of a named pipe, writes and connects of Peer and the ends of started processes had none either.

Change: each fails after EVENT_TIMEOUT; HandoverPeer is the test's end of a handover and replaces eight copies of its reads and writes.

--- a/crates/pierloom/tests/bad_input.rs
+++ b/crates/pierloom/tests/bad_input.rs
@@ -8,7 +8,7 @@
 
 use harness::{
     Backend, EVENT_TIMEOUT, FullQueueBackend, Proxy, SETTINGS, http_response, poll_until, program_command,
-    write_config_file,
+    run_to_end, write_config_file,
 };
 use std::time::Duration;
 
@@ -181,7 +181,7 @@
             "unusual-refused",
             &harness::config_text(proxy.discovery.address, 1024, "", &settings),
         );
-        let output = program_command(&["check", path.to_str().unwrap()]).output().unwrap();
+        let output = run_to_end(&mut program_command(&["check", path.to_str().unwrap()]));
         let error_text = String::from_utf8(output.stderr).unwrap();
         assert_eq!(output.status.code(), Some(2), "{field}: {error_text}");
         assert!(error_text.contains(field) && error_text.lines().count() == 1, "{field}: {error_text}");
--- a/crates/pierloom/tests/harness/mod.rs
+++ b/crates/pierloom/tests/harness/mod.rs
@@ -4,7 +4,8 @@
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::sync::{Arc, Condvar, Mutex};
@@ -32,15 +33,16 @@
 }
 
 impl Peer {
-    /// Wraps a connection. A read fails after `EVENT_TIMEOUT`.
+    /// Wraps a connection. A read or a write that takes longer than `EVENT_TIMEOUT` fails.
     pub fn new(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+        stream.set_write_timeout(Some(EVENT_TIMEOUT)).unwrap();
         Peer { reader: BufReader::new(stream) }
     }
 
     /// Opens a connection to `address`.
     pub fn connect(address: SocketAddr) -> Self {
-        Peer::new(TcpStream::connect(address).unwrap())
+        Peer::new(TcpStream::connect_timeout(&address, EVENT_TIMEOUT).unwrap())
     }
 
     /// The underlying stream.
@@ -173,9 +175,11 @@
 }
 
 impl FullQueueBackend {
-    /// Starts a backend that listens at a free address, with the shortest accept queue.
+    /// Starts a backend that listens at a free address, with the shortest accept queue. An accept fails after
+    /// `EVENT_TIMEOUT`.
     pub fn new(name: &'static str) -> Self {
         let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        listener.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
         listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         listener.listen(0).unwrap();
         let address = listener.local_addr().unwrap().as_socket().unwrap();
@@ -184,7 +188,7 @@
 
     /// Accepts the next connection.
     pub fn accept(&self) -> Peer {
-        Peer::new(self.listener.accept().unwrap().0.into())
+        Peer::new(self.listener.accept().expect("a connection").0.into())
     }
 
     /// Fills the accept queue with connections of the test.
@@ -199,7 +203,7 @@
         let made_by_test =
             |from: SocketAddr| self.queued.iter().any(|stream| stream.local_addr().unwrap() == from);
         loop {
-            let (stream, from) = self.listener.accept().unwrap();
+            let (stream, from) = self.listener.accept().expect("a connection");
             if !made_by_test(from.as_socket().unwrap()) {
                 return Peer::new(stream.into());
             }
@@ -441,6 +445,84 @@
     command
 }
 
+/// Waits for a process to exit.
+pub fn wait_for_exit(child: &mut Child) -> ExitStatus {
+    let started_at = Instant::now();
+    while started_at.elapsed() < EVENT_TIMEOUT {
+        if let Some(status) = child.try_wait().unwrap() {
+            return status;
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    child.kill().unwrap();
+    panic!("the program does not exit");
+}
+
+/// Runs a command to its end. Returns its output, which must be short: it is read after the end.
+pub fn run_to_end(command: &mut Command) -> Output {
+    let mut child = command.spawn().unwrap();
+    wait_for_exit(&mut child);
+    child.wait_with_output().unwrap()
+}
+
+/// Sends a signal, named as for `kill`, to a process.
+pub fn send_signal(process_id: u32, name: &str) {
+    let mut kill = Command::new("kill").args([name, &process_id.to_string()]).spawn().unwrap();
+    assert!(wait_for_exit(&mut kill).success());
+}
+
+/// The test's end of a handover between two processes. A wait that takes longer than `EVENT_TIMEOUT` fails.
+pub struct HandoverPeer {
+    stream: UnixStream,
+    messages: BufReader<UnixStream>,
+}
+
+impl HandoverPeer {
+    fn new(stream: UnixStream) -> Self {
+        stream.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+        stream.set_write_timeout(Some(EVENT_TIMEOUT)).unwrap();
+        let messages = BufReader::new(stream.try_clone().unwrap());
+        HandoverPeer { stream, messages }
+    }
+
+    /// Connects to the process that hands over at `path`, as its successor.
+    pub fn connect(path: &std::path::Path) -> std::io::Result<Self> {
+        UnixStream::connect(path).map(HandoverPeer::new)
+    }
+
+    /// Accepts the process that takes over from the test.
+    pub fn accept(listener: &UnixListener) -> Self {
+        socket2::SockRef::from(listener).set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+        HandoverPeer::new(listener.accept().expect("a process that takes over").0)
+    }
+
+    /// The underlying stream.
+    pub fn stream(&self) -> &UnixStream {
+        &self.stream
+    }
+
+    /// Sends `text`, unchanged.
+    pub fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+
+    /// Reads the next message. Fails once the other process has closed.
+    pub fn message(&mut self) -> String {
+        let mut message = String::new();
+        assert!(self.messages.read_line(&mut message).unwrap() > 0, "the other process closed the handover");
+        message
+    }
+}
+
+/// Opens a named pipe for writing, once another process has opened it for reading.
+pub fn open_pipe_for_writing(path: &std::path::Path) -> std::fs::File {
+    let (sender, opened) = channel();
+    let path = path.to_path_buf();
+    // This open blocks until another process opens the pipe.
+    thread::spawn(move || sender.send(std::fs::OpenOptions::new().write(true).open(path).unwrap()));
+    opened.recv_timeout(EVENT_TIMEOUT).expect("a process that opens the pipe")
+}
+
 /// A command that runs `strace` with these arguments, detached: the started process is the traced program.
 pub fn strace_command(tracing: &[&str]) -> Command {
     let mut command = Command::new("strace");
@@ -682,8 +764,7 @@
 
     /// Sends a signal, named as for `kill`, to the proxy.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
-        assert!(status.success());
+        send_signal(self.child.id(), name);
     }
 
     /// Suspends the process. Everything that arrives meanwhile is ready at the same time when it resumes.
@@ -766,7 +847,7 @@
         loop {
             match self.log.recv_timeout(EVENT_TIMEOUT) {
                 Ok(_) => {}
-                Err(RecvTimeoutError::Disconnected) => return self.child.wait().unwrap(),
+                Err(RecvTimeoutError::Disconnected) => return wait_for_exit(&mut self.child),
                 Err(RecvTimeoutError::Timeout) => panic!("the program does not exit"),
             }
         }
--- a/crates/pierloom/tests/proxy.rs
+++ b/crates/pierloom/tests/proxy.rs
@@ -7,7 +7,7 @@
 
 use harness::{
     Backend, Discovery, EVENT_TIMEOUT, Peer, Proxy, SETTINGS, config_text, entry, http_response,
-    program_command, write_config_file,
+    program_command, run_to_end, write_config_file,
 };
 use std::time::{Duration, Instant};
 
@@ -542,24 +542,24 @@
     for (i, (text, field)) in invalid.iter().enumerate() {
         let path = write_config_file(&format!("invalid{i}"), text);
         for arguments in [vec!["serve"], vec!["check", path.to_str().unwrap()]] {
-            let output = program_command(&arguments).env("LB_CONFIG", &path).output().unwrap();
+            let output = run_to_end(program_command(&arguments).env("LB_CONFIG", &path));
             let error_text = String::from_utf8(output.stderr).unwrap();
             assert_eq!(output.status.code(), Some(2), "{error_text}");
             assert!(error_text.lines().count() == 1 && error_text.contains(field), "{error_text}");
         }
     }
     let path = write_config_file("good", &valid);
-    let output = program_command(&["check", path.to_str().unwrap()]).output().unwrap();
+    let output = run_to_end(&mut program_command(&["check", path.to_str().unwrap()]));
     assert!(output.status.success() && output.stdout.starts_with(b"good"));
-    assert_eq!(program_command(&["serve"]).output().unwrap().status.code(), Some(2), "no config at all");
-    assert!(program_command(&["version"]).output().unwrap().stdout.starts_with(b"pierloom 0."));
+    assert_eq!(run_to_end(&mut program_command(&["serve"])).status.code(), Some(2), "no config at all");
+    assert!(run_to_end(&mut program_command(&["version"])).stdout.starts_with(b"pierloom 0."));
 }
 
 #[test]
 fn invalid_program_settings_give_one_error_line_with_file_line_and_key() {
     let path = write_config_file("own-settings", "[log]\nformat = \"text\"\nlines_per_second = 0\n");
     let path_text = path.to_str().unwrap();
-    let check = || program_command(&["check", "--settings", path_text]).output().unwrap();
+    let check = || run_to_end(&mut program_command(&["check", "--settings", path_text]));
     let cases = [
         ("[log]\nlines_per_second = 0\n", "line 2: log.lines_per_second: "),
         ("[log]\n\nformat = \"xml\"\n", "line 3: log.format: "),
--- a/crates/pierloom/tests/stops.rs
+++ b/crates/pierloom/tests/stops.rs
@@ -6,18 +6,14 @@
 mod harness;
 
 use harness::{
-    Backend, Discovery, Peer, Proxy, SETTINGS, config_text, poll_until, program_command, write_config_file,
+    Backend, Discovery, Peer, Proxy, SETTINGS, config_text, open_pipe_for_writing, poll_until,
+    program_command, run_to_end, send_signal, wait_for_exit, write_config_file,
 };
 use std::io::Write;
 use std::os::unix::process::ExitStatusExt;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-/// Sends a signal to a process.
-fn signal(process_id: u32, name: &str) {
-    assert!(Command::new("kill").args([name, &process_id.to_string()]).status().unwrap().success());
-}
-
 // Guards against a signal that kills the process because its handler is installed too late. The config is a
 // pipe, so that the signal arrives while the program reads it.
 #[test]
@@ -27,11 +23,10 @@
         let text = config_text(discovery.address, 1024, &backend.entry("ready"), SETTINGS);
         let path = write_config_file(name, &text);
         std::fs::remove_file(&path).unwrap();
-        assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+        assert!(run_to_end(Command::new("mkfifo").arg(&path)).status.success());
         let mut child = program_command(&["serve"]).env("LB_CONFIG", &path).spawn().unwrap();
-        // This open blocks until the program opens the pipe.
-        let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
-        signal(child.id(), sent);
+        let mut pipe = open_pipe_for_writing(&path);
+        send_signal(child.id(), sent);
         // A reload then reads a regular file.
         let new_path = path.with_extension("new");
         std::fs::write(&new_path, &text).unwrap();
@@ -41,14 +36,14 @@
         drop(pipe);
         let exited = || has_exited(child.id());
         if stops {
-            let status = child.wait().unwrap();
+            let status = wait_for_exit(&mut child);
             assert!(status.success(), "{sent}: {status:?}, signal {:?}", status.signal());
             continue;
         }
         std::thread::sleep(Duration::from_millis(300));
         assert!(!exited(), "{sent} killed the program");
-        signal(child.id(), "-KILL");
-        child.wait().unwrap();
+        send_signal(child.id(), "-KILL");
+        wait_for_exit(&mut child);
     }
 }
 
--- a/crates/pierloom/tests/upgrade.rs
+++ b/crates/pierloom/tests/upgrade.rs
@@ -6,9 +6,9 @@
 #[allow(dead_code)] // each test program uses a part of the harness
 mod harness;
 
-use harness::{Backend, Folder, Peer, Proxy, call_console, metric_value, poll_until};
+use harness::{Backend, Folder, HandoverPeer, Peer, Proxy, call_console, metric_value, poll_until};
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
-use std::io::{BufRead, BufReader, IoSlice, Write};
+use std::io::IoSlice;
 use std::mem::MaybeUninit;
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd};
@@ -22,9 +22,8 @@
 
 /// Polls the health check until it succeeds.
 fn wait_until_healthy(console: std::net::SocketAddr) {
-    while call_console(console, "GET", "/healthcheck").0 != 200 {
-        thread::sleep(std::time::Duration::from_millis(5));
-    }
+    poll_until(|| (call_console(console, "GET", "/healthcheck").0 == 200).then_some(()))
+        .expect("a process that serves");
 }
 
 /// Establishes as many connections as `requests`. Each request must reach `backend`.
@@ -124,19 +123,15 @@
     wait_until_healthy(console);
     for message in ["", "\"tak", "\"taken\"\n", "nonsense\n"] {
         // Until the proxy notices the death of the previous successor, it accepts no other.
-        let connect = || UnixStream::connect(folder.file("pierloom-p0.sock")).ok();
+        let connect = || HandoverPeer::connect(&folder.file("pierloom-p0.sock")).ok();
         let mut successor = poll_until(connect).expect("a process that accepts again");
-        let mut messages = BufReader::new(successor.try_clone().unwrap());
-        let mut state = String::new();
-        messages.read_line(&mut state).unwrap();
+        let state = successor.message();
         assert!(state.contains("\"n1\""), "{state}");
-        successor.write_all(message.as_bytes()).unwrap();
+        successor.send(message);
         if message == "\"taken\"\n" {
-            let mut released = String::new();
-            messages.read_line(&mut released).unwrap();
-            assert_eq!(released, "\"released\"\n");
+            assert_eq!(successor.message(), "\"released\"\n");
         }
-        drop((successor, messages));
+        drop(successor);
         establish_all(&old, &backend, &format!("{}", message.len()), 3);
     }
 }
@@ -207,23 +202,21 @@
     let (mut old, console) = Proxy::start_in_folder(&folder, None, &[backend.entry("ready")]);
     wait_until_healthy(console);
     let mut connections = establish_all(&old, &backend, "a", 3);
-    let mut successor = UnixStream::connect(folder.file("pierloom-p0.sock")).unwrap();
-    let mut messages = BufReader::new(successor.try_clone().unwrap());
-    successor.write_all(b"\"taken\"\n").unwrap();
-    let (mut message, mut offered) = (String::new(), 0);
+    let mut successor = HandoverPeer::connect(&folder.file("pierloom-p0.sock")).unwrap();
+    successor.send("\"taken\"\n");
+    let mut offered = 0;
     while offered < 2 {
-        message.clear();
-        messages.read_line(&mut message).unwrap();
+        let message = successor.message();
         if message.contains("released") {
             old.signal("-TERM");
         }
         if message.contains("connection") {
             // The successor refuses the first connection, and dies while it answers the second.
-            successor.write_all(b"{\"holds\":false}\n").unwrap();
+            successor.send("{\"holds\":false}\n");
             offered += 1;
         }
     }
-    drop((successor, messages));
+    drop(successor);
     for (client, _) in &mut connections {
         assert_eq!(client.line(), "MOVE\r\n");
     }
@@ -242,12 +235,11 @@
         let handover = UnixListener::bind(folder.file("pierloom-p0.sock")).unwrap();
         std::fs::write(folder.file("pierloom-p0.withheld"), r#"["n2"]"#).unwrap();
         let predecessor = thread::spawn(move || {
-            let (mut successor, _) = handover.accept().unwrap();
-            match message {
-                Some(message) => successor.write_all(message.as_bytes()).unwrap(),
-                // The predecessor never answers.
-                None => drop(successor.set_read_timeout(None)),
+            let mut successor = HandoverPeer::accept(&handover);
+            if let Some(message) = message {
+                successor.send(message);
             }
+            // Otherwise the predecessor never answers.
             message.is_none().then_some((successor, handover))
         });
         let other = Backend::new("n2");
@@ -296,9 +288,8 @@
     let (mut old, console) = Proxy::start_in_folder(&folder, None, &[backend.entry("ready")]);
     wait_until_healthy(console);
     let mut connections = establish_all(&old, &backend, "a", 2);
-    let successor = UnixStream::connect(folder.file("pierloom-p0.sock")).unwrap();
-    let mut state = String::new();
-    BufReader::new(successor.try_clone().unwrap()).read_line(&mut state).unwrap();
+    let mut successor = HandoverPeer::connect(&folder.file("pierloom-p0.sock")).unwrap();
+    successor.message();
     old.signal("-TERM");
     // A request that arrives now is still answered.
     let mut late = old.send_request("b");
@@ -336,32 +327,25 @@
     let (old, console) = Proxy::start_in_folder(&first_folder, None, &[backend.entry("ready")]);
     wait_until_healthy(console);
     let _connections = establish_all(&old, &backend, "a", 1);
-    let mut successor = UnixStream::connect(first_folder.file("pierloom-p0.sock")).unwrap();
-    let mut messages = BufReader::new(successor.try_clone().unwrap());
-    successor.write_all(b"\"taken\"\n").unwrap();
-    let mut next_message = || {
-        let mut message = String::new();
-        messages.read_line(&mut message).unwrap();
-        message
-    };
-    let state = next_message();
-    while !next_message().contains("released") {}
+    let mut successor = HandoverPeer::connect(&first_folder.file("pierloom-p0.sock")).unwrap();
+    successor.send("\"taken\"\n");
+    let state = successor.message();
+    while !successor.message().contains("released") {}
     old.signal("-TERM");
-    let connection_message =
-        std::iter::repeat_with(&mut next_message).find(|message| message.contains("connection")).unwrap();
+    let connection_message = std::iter::repeat_with(|| successor.message())
+        .find(|message| message.contains("connection"))
+        .unwrap();
     let folder = Folder::new("killed");
     let handover = UnixListener::bind(folder.file("pierloom-p0.sock")).unwrap();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let ((client_end, mut client), (backend_end, mut at_backend)) = (connection_pair(), connection_pair());
     let predecessor = thread::spawn(move || {
-        let (mut successor, _) = handover.accept().unwrap();
-        send_with_sockets(&successor, &state, &[listener.as_fd()]);
-        let mut messages = BufReader::new(successor.try_clone().unwrap());
-        let mut answer = String::new();
-        messages.read_line(&mut answer).unwrap();
-        assert_eq!(answer, "\"taken\"\n");
-        successor.write_all(b"\"released\"\n").unwrap();
-        send_with_sockets(&successor, &connection_message, &[client_end.as_fd(), backend_end.as_fd()]);
+        let mut successor = HandoverPeer::accept(&handover);
+        send_with_sockets(successor.stream(), &state, &[listener.as_fd()]);
+        assert_eq!(successor.message(), "\"taken\"\n");
+        successor.send("\"released\"\n");
+        let sockets = [client_end.as_fd(), backend_end.as_fd()];
+        send_with_sockets(successor.stream(), &connection_message, &sockets);
     });
     let (_new, console) = Proxy::start_in_folder(&folder, None, &[backend.entry("ready")]);
     wait_until_healthy(console);
