A client of a test has left once the test has dropped it

Cause: a test closes a client's descriptor while another test of the binary starts a process. Until that process executes its program it holds a copy, and the kernel sends the end only when the last copy is closed. The proxy then rightly serves a request whose client is still there.

Change: Peer shuts its sending down before it closes, Peer::reset disconnects the socket; both act on the connection, not on one descriptor. Proxy::resume waits until the ends of all clients lie at the proxy's sockets.

Both new checks of the harness fail without the change. The test itself is unchanged.

--- a/crates/pierloom/tests/harness/mod.rs
+++ b/crates/pierloom/tests/harness/mod.rs
@@ -27,11 +27,20 @@
     None
 }
 
-/// One end of a TCP connection, read line by line.
+/// One end of a TCP connection, read line by line. Dropping it ends the connection at once.
 pub struct Peer {
     reader: BufReader<TcpStream>,
 }
 
+impl Drop for Peer {
+    /// Ends the sending. The close that follows does not suffice: a process that another test starts at this
+    /// moment holds a copy of the descriptor until it executes its program.
+    fn drop(&mut self) {
+        // The other side may have ended the connection, and `reset` has.
+        let _ = self.stream().shutdown(std::net::Shutdown::Write);
+    }
+}
+
 impl Peer {
     /// Wraps a connection. A read or a write that takes longer than `EVENT_TIMEOUT` fails.
     pub fn new(stream: TcpStream) -> Self {
@@ -121,9 +130,9 @@
         }
     }
 
-    /// Closes the connection with a TCP reset.
+    /// Closes the connection with a TCP reset, even if another process holds a copy of its descriptor.
     pub fn reset(self) {
-        socket2::SockRef::from(self.stream()).set_linger(Some(Duration::ZERO)).unwrap();
+        rustix::net::connect_unspec(self.stream()).unwrap();
     }
 }
 
@@ -797,11 +806,28 @@
         std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&remote)
     }
 
-    /// Resumes a suspended process.
+    /// Resumes a suspended process, once the ends of all clients that have left it have arrived.
     pub fn resume(&self) {
+        poll_until(|| (!self.awaits_end_of_client()).then_some(())).expect("the ends of all clients");
         self.signal("-CONT");
     }
 
+    /// Whether a client has ended its connection and the end has not arrived at the proxy's socket. The client's
+    /// own socket does not tell, as the acknowledgement of its end may be delayed.
+    fn awaits_end_of_client(&self) -> bool {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let sockets: Vec<KernelSocket> = table.lines().filter_map(KernelSocket::parse).collect();
+        let proxy = format!("0100007F:{:04X}", self.address.port());
+        let is_established = |local: &str, remote: &str| {
+            sockets.iter().any(|socket| {
+                (socket.local, socket.remote, socket.state) == (local, remote, KernelSocket::ESTABLISHED)
+            })
+        };
+        let has_ended =
+            |socket: &&KernelSocket| socket.remote == proxy && socket.state != KernelSocket::ESTABLISHED;
+        sockets.iter().filter(has_ended).any(|client| is_established(&proxy, client.local))
+    }
+
     /// Waits until a proxy in a planned stop refuses new requests.
     pub fn wait_until_stopping(&self) {
         let refused = || {
@@ -869,6 +895,23 @@
     }
 }
 
+/// A socket as `/proc/net/tcp` lists it.
+struct KernelSocket<'a> {
+    local: &'a str,
+    remote: &'a str,
+    state: &'a str,
+}
+
+impl<'a> KernelSocket<'a> {
+    /// The state of a connection that neither side has ended.
+    const ESTABLISHED: &'static str = "01";
+
+    fn parse(line: &'a str) -> Option<Self> {
+        let mut fields = line.split_whitespace().skip(1);
+        Some(KernelSocket { local: fields.next()?, remote: fields.next()?, state: fields.next()? })
+    }
+}
+
 impl Drop for Proxy {
     fn drop(&mut self) {
         // The process may have exited already.
--- a/crates/pierloom/tests/harness_checks.rs
+++ b/crates/pierloom/tests/harness_checks.rs
@@ -7,6 +7,10 @@
 
 use harness::{Peer, write_config_file};
 use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+/// Time within which the end of a connection arrives that nothing delays.
+const PROMPTLY: Duration = Duration::from_secs(5);
 
 /// Both ends of a connection.
 fn connected_peers() -> (Peer, Peer) {
@@ -37,3 +41,23 @@
     peer.shutdown_write();
     assert_eq!(peer.next_line(), None);
 }
+
+// Guards against a client that has not left when the test goes on: a process that another test starts holds a
+// copy of each descriptor until it executes its program. Here the test holds the copy.
+#[test]
+fn a_dropped_peer_ends_its_connection_while_a_copy_of_its_descriptor_is_open() {
+    let (peer, mut other) = connected_peers();
+    let _copy = peer.stream().try_clone().unwrap();
+    drop(peer);
+    assert_eq!(other.line_within(PROMPTLY).as_deref(), Some(""), "the end of the connection");
+}
+
+// Guards against the same for a reset.
+#[test]
+fn a_reset_takes_effect_while_a_copy_of_the_descriptor_is_open() {
+    let (peer, mut other) = connected_peers();
+    let _copy = peer.stream().try_clone().unwrap();
+    peer.reset();
+    other.stream().set_read_timeout(Some(PROMPTLY)).unwrap();
+    assert!(other.read_to_end().1, "a reset");
+}
