Kept probe connections and refused ones are read without the runtime's cache

What could happen: a late answer on a kept probe connection is not seen, and the next probe reads it as its own, as does each probe after it; a refused client's connection is closed over its unread request, which is a reset.

The refused connection was found by reading and was not seen to fail.

Change: IdleConnections::take and refuse use try_read_unpolled.

--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -209,7 +209,7 @@
     let _ = stream.try_write(&protocol.refusal(Some(RETRY_AFTER_US)));
     let _ = stream.finish();
     // Closing with unread bytes would reset the connection, which could discard the refusal.
-    let _ = stream.try_read(&mut [0; MAX_LINE_BYTES]);
+    let _ = stream.try_read_unpolled(&mut [0; MAX_LINE_BYTES]);
 }
 
 /// The outcome of reading a client's request.
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -30,7 +30,8 @@
         let mut idle = self.0.borrow_mut();
         let index = idle.iter().position(|(name, ..)| name == backend)?;
         let (_, idle_address, stream) = idle.remove(index)?;
-        let unused = stream.try_read(&mut [0; 1]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+        let unused =
+            stream.try_read_unpolled(&mut [0; 1]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
         (idle_address == address && unused).then_some(stream)
     }
 
