--- a/crates/pierloom/tests/harness/mod.rs
+++ b/crates/pierloom/tests/harness/mod.rs
@@ -882,6 +882,18 @@
         }
     }
 
+    /// Waits for the process to exit by that time. Kills it and returns `None` if it does not.
+    pub fn wait_or_kill(&mut self, at: Instant) -> Option<ExitStatus> {
+        while Instant::now() < at {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return Some(status);
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        self.child.kill().unwrap();
+        None
+    }
+
     /// Waits for the process to exit.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         // The log ends when the process exits.
