Known red: SIGTERM ends no process whose log has lost its reader

Found at the end, by seven proxies of tests that had been ended: they were still there 7 s after SIGTERM. A trial with the other end of standard error closed: still running 6 s after SIGTERM; with it open the process ended after 0.57 s.

--- a/crates/pierloom/tests/stops.rs
+++ b/crates/pierloom/tests/stops.rs
@@ -9,7 +9,7 @@
     Backend, Discovery, Peer, Proxy, SETTINGS, config_text, open_pipe_for_writing, poll_until,
     program_command, run_to_end, send_signal, wait_for_exit, write_config_file,
 };
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::os::unix::process::ExitStatusExt;
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -103,3 +103,20 @@
     assert_eq!(late.line_or_end(), "ERR\r\n", "shut down during an attempt");
     drop(at_backend);
 }
+
+// Guards against a proxy that never stops after SIGTERM because the reader of its log has gone.
+#[test]
+fn a_stop_completes_after_the_reader_of_the_log_has_gone() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("n"));
+    let text = config_text(discovery.address, 1024, &backend.entry("ready"), SETTINGS);
+    let path = write_config_file("log-reader", &text);
+    let mut child = program_command(&["serve"]).env("LB_CONFIG", &path).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    log.read_line(&mut line).unwrap();
+    drop(log);
+    // The proxy logs event counts for each second with events.
+    std::thread::sleep(Duration::from_secs(4));
+    send_signal(child.id(), "-TERM");
+    assert!(wait_for_exit(&mut child).success());
+}
