A panic of a task that the proxy depends on no longer goes unnoticed

What callers saw: a process that goes on without its timers. No shutdown ends in it, and requests get no answer at their deadline.

Cause: the timers, the endpoint list, the listener and the console each ran under a supervising task, whose own handle nobody awaited. Where that task panicked too, it ended silently and its charge was not started again. Other tasks that the proxy depends on (probes, upgrades, SIGHUP, the wait for SIGTERM) had no supervisor at all.

Evidence: in a trial with a panic hook that writes backtraces to a file and the reader of the log gone, four panics came in this order: the endpoint list's task, its supervisor 0.2 s later at the line "started again after a panic", then the timers' task and, 2 ms later, its supervisor at the same line.

Fix: the future that runs the proxy awaits the handles itself. It starts tasks again as before; where one cannot be started again, the proxy makes a planned stop and returns an error, which is exit code 1. A panic of that future ends the process. Each reload runs in a task of its own, as a config at which it panics would otherwise stop all proxies that read it.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 mod shutdown;
 mod source;
 mod stream;
+mod supervisor;
 mod upgrade;
 
 pub use self::core::DecisionModule;
@@ -30,12 +31,14 @@
 use self::listener::Listener;
 use self::metrics::Metrics;
 use self::protocol::{Protocol, lines::LineProtocol};
+use self::shutdown::ShutdownRequest;
 use self::source::discovery::{self, Endpoints};
+use self::supervisor::Supervisor;
 use self::upgrade::Upgrades;
 use pierloom_decision::{Balancer, Event, ListKind};
-use pierloom_host::{Host, Signal, Signals, TaskEnd};
+use pierloom_host::{Host, Signal, Signals};
 use std::cell::{Cell, RefCell};
-use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use tokio::sync::watch;
 
@@ -71,7 +74,8 @@
     }
 }
 
-/// Runs the proxy on `host` until its shutdown is complete.
+/// Runs the proxy on `host` until its shutdown is complete. If a task that the proxy depends on has panicked
+/// and cannot be started again, the proxy shuts down as for SIGTERM and returns an error.
 pub async fn run(
     host: Host,
     handlers: SignalHandlers,
@@ -83,22 +87,28 @@
     let metrics = Metrics::new(names.class_names()).map_err(|e| format!("metrics: {e}"))?;
     let (core, probes) = Core::new(host.clone(), config.settings, module, metrics);
     let SignalHandlers { hangups, terminations } = handlers;
-    let sigterm = shutdown::watch_sigterm(&core, terminations);
+    let mut supervisor = Supervisor::new(&host);
+    let shutdown_request = Rc::new(ShutdownRequest::new());
+    supervisor.spawn(
+        "SIGTERM handling",
+        shutdown::request_on_sigterm(core.clone(), terminations, shutdown_request.clone()),
+    );
     names.warnings.iter().for_each(|warning| tracing::warn!(target: "config", "{warning}"));
-    keep_up(&host, "sweep", {
+    supervisor.spawn_restartable("timers", {
         let core = core.clone();
         move || core.clone().run_timers()
     });
     let upgrades = Upgrades::new(core.clone(), protocol.clone(), &config.name, config.console.is_some());
-    let takeover = upgrades.take_over().await;
+    let takeover = supervisor.supervise(upgrades.take_over()).await.map_err(|e| e.to_string())?;
     let initial_endpoints =
         takeover.as_ref().map_or(config.initial_endpoints, |takeover| takeover.endpoints.snapshot());
     let endpoints = Rc::new(RefCell::new(Endpoints::default()));
     let index = Cell::new(Some(initial_endpoints.index()));
     discovery::apply_endpoints(&core, &names, &endpoints, initial_endpoints, ListKind::Full);
     let (discovery_sender, discovery_addresses) = watch::channel(config.discovery);
-    host.spawn(reload::on_sighup(core.clone(), hangups, config.source, discovery_sender));
-    keep_up(&host, "machine list", {
+    supervisor
+        .spawn("SIGHUP handling", reload::on_sighup(core.clone(), hangups, config.source, discovery_sender));
+    supervisor.spawn_restartable("endpoint list", {
         let (core, names, endpoints) = (core.clone(), names.clone(), endpoints.clone());
         move || {
             discovery::watch(
@@ -110,7 +120,7 @@
             )
         }
     });
-    host.spawn(probe::serve(core.clone(), protocol.clone(), probes));
+    supervisor.spawn("probes", probe::serve(core.clone(), protocol.clone(), probes));
     let reserved_descriptors = config.console.map_or(0, |_| console::max_connections(config.max_descriptors));
     let (tcp_listener, predecessor) = match takeover {
         Some(takeover) => {
@@ -125,28 +135,20 @@
         let console = Rc::new(Console::bind(&host, address, config.max_descriptors)?);
         tracing::info!(target: "console", "{} serves operators on {}", config.name, console.address());
         let (core, upgrades) = (core.clone(), upgrades.clone());
-        keep_up(&host, "console", move || console.clone().serve(core.clone(), upgrades.clone()));
+        supervisor
+            .spawn_restartable("console", move || console.clone().serve(core.clone(), upgrades.clone()));
     }
     // The listener accepts new clients until the process ends.
-    keep_up(&host, "listener", {
+    supervisor.spawn_restartable("listener", {
         let (core, listener) = (core.clone(), listener.clone());
         move || listener.clone().serve(core.clone(), protocol.clone())
     });
-    host.spawn(upgrades.serve(listener.clone(), endpoints, predecessor));
-    shutdown::on_sigterm(core, sigterm).await;
-    Ok(())
-}
-
-/// Runs a task that the proxy depends on, and starts it again after a panic.
-fn keep_up<F: Future<Output = ()> + 'static>(
-    host: &Host,
-    task: &'static str,
-    start: impl Fn() -> F + 'static,
-) {
-    let task_host = host.clone();
-    host.spawn(async move {
-        while task_host.spawn(start()).await == TaskEnd::Aborted {
-            tracing::error!(target: "proxy", "{task}: started again after a panic");
-        }
-    });
+    supervisor.spawn("upgrades", upgrades.serve(listener.clone(), endpoints, predecessor));
+    let mut shutdown = pin!(shutdown::on_request(core.clone(), shutdown_request.clone()));
+    let Err(failure) = supervisor.supervise(shutdown.as_mut()).await else { return Ok(()) };
+    tracing::error!(target: "proxy", "{failure}; the proxy shuts down");
+    shutdown_request.request(core.now());
+    // A second failure ends the process at once.
+    let _ = supervisor.supervise(shutdown).await;
+    Err(failure.to_string())
 }
--- a/crates/proxy/src/reload.rs
+++ b/crates/proxy/src/reload.rs
@@ -3,7 +3,8 @@
 use crate::config::ConfigFile;
 use crate::core::Core;
 use pierloom_decision::Micros;
-use pierloom_host::Signals;
+use pierloom_host::{Signals, TaskEnd};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -14,31 +15,42 @@
 /// signal ([`MAX_ENDPOINTS_AGE_AFTER_MOVE_US`](crate::source::discovery::MAX_ENDPOINTS_AGE_AFTER_MOVE_US)).
 const REREAD_PERIOD_US: Micros = 2_000_000;
 
-/// Reads the config again at each SIGHUP and publishes the new address of discovery. Requests, their
-/// connections and the learned state stay. Any other change of the file takes effect only at the next start.
+/// Reloads the config at each SIGHUP. Each reload runs in a task of its own, so that a panic, which other
+/// proxies with the same file may have too, ends that reload and no process.
 pub async fn on_sighup(
     core: Rc<Core>,
     mut hangups: Signals,
-    mut config_file: ConfigFile,
+    config_file: ConfigFile,
     discovery: watch::Sender<SocketAddr>,
 ) {
+    let config_file = Rc::new(RefCell::new(config_file));
     while hangups.recv().await.is_some() {
-        let (signalled_at, mut error_logged) = (core.now(), false);
-        loop {
-            match config_file.reload(&core.host) {
-                Ok(Some(address)) => {
-                    tracing::info!(target: "reload", "discovery is now at {address}");
-                    discovery.send_replace(address);
-                    break;
-                }
-                Ok(None) => break,
-                Err(error) if !std::mem::replace(&mut error_logged, true) => {
-                    tracing::error!(target: "reload", "the old config stays: {error}");
-                }
-                Err(_) if core.now() >= signalled_at + REREAD_PERIOD_US => break,
-                Err(_) => {}
+        let reload = reload(core.clone(), config_file.clone(), discovery.clone());
+        if core.host.spawn(reload).await == TaskEnd::Aborted {
+            tracing::error!(target: "reload", "the old config stays: the reload ended by a panic");
+        }
+    }
+}
+
+/// Reads the config again and publishes the new address of discovery. Requests, their connections and the
+/// learned state stay. Any other change of the file takes effect only at the next start.
+async fn reload(core: Rc<Core>, config_file: Rc<RefCell<ConfigFile>>, discovery: watch::Sender<SocketAddr>) {
+    let (signalled_at, mut error_logged) = (core.now(), false);
+    loop {
+        let reloaded = config_file.borrow_mut().reload(&core.host);
+        match reloaded {
+            Ok(Some(address)) => {
+                tracing::info!(target: "reload", "discovery is now at {address}");
+                discovery.send_replace(address);
+                return;
+            }
+            Ok(None) => return,
+            Err(error) if !std::mem::replace(&mut error_logged, true) => {
+                tracing::error!(target: "reload", "the old config stays: {error}");
             }
-            core.deadlines.until(core.now() + REREAD_INTERVAL_US).await;
+            Err(_) if core.now() >= signalled_at + REREAD_PERIOD_US => return,
+            Err(_) => {}
         }
+        core.deadlines.until(core.now() + REREAD_INTERVAL_US).await;
     }
 }
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,11 +1,11 @@
-//! The shutdown after SIGTERM, which is the signal for a planned stop: new clients are still accepted for a
-//! moment, and the moves of all clients are spread over time.
+//! The shutdown after SIGTERM, which is the signal for a planned stop, or after a failure of the proxy: new
+//! clients are still accepted for a moment, and the moves of all clients are spread over time.
 
 use crate::core::{Core, RequestCommand};
 use pierloom_decision::Micros;
 use pierloom_host::Signals;
 use std::rc::Rc;
-use tokio::sync::oneshot;
+use tokio::sync::SetOnce;
 
 /// Limit of the class deadline that enters the grace period. The process is killed no earlier after SIGTERM
 /// than the longest deadline of a class, at most this, plus [`KILL_MARGIN_US`].
@@ -30,31 +30,40 @@
 /// Moves are no closer together than this; where there are many, several are requested at once.
 const MIN_MOVE_INTERVAL_US: Micros = 20_000;
 
-/// Returns a receiver of the time at which SIGTERM arrives. The signal may arrive before the process is
-/// ready, and the times of the shutdown count from its arrival.
-pub fn watch_sigterm(core: &Rc<Core>, mut terminations: Signals) -> oneshot::Receiver<Micros> {
-    let (sender, signalled_at) = oneshot::channel();
-    let task_core = core.clone();
-    core.host.spawn(async move {
-        if terminations.recv().await.is_some() {
-            // The receiver is kept until the process ends.
-            let _ = sender.send(task_core.now());
-        }
-    });
-    signalled_at
+/// The request to shut the proxy down, with the time at which it arrived. Only the first request counts.
+pub struct ShutdownRequest(SetOnce<Micros>);
+
+impl ShutdownRequest {
+    /// No request has arrived yet.
+    pub fn new() -> Self {
+        ShutdownRequest(SetOnce::new())
+    }
+
+    /// Requests the shutdown, unless it was requested before.
+    pub fn request(&self, now: Micros) {
+        let _ = self.0.set(now);
+    }
+}
+
+/// Requests the shutdown when SIGTERM arrives. The signal may arrive before the process is ready, and the times
+/// of the shutdown count from its arrival.
+pub async fn request_on_sigterm(core: Rc<Core>, mut terminations: Signals, request: Rc<ShutdownRequest>) {
+    if terminations.recv().await.is_some() {
+        request.request(core.now());
+    }
 }
 
-/// Waits for SIGTERM, then shuts the proxy down; returns when the process can end.
-pub async fn on_sigterm(core: Rc<Core>, signalled_at: oneshot::Receiver<Micros>) {
-    let Ok(signalled_at) = signalled_at.await else { return std::future::pending().await };
+/// Waits until the shutdown is requested, then shuts the proxy down; returns when the process can end.
+pub async fn on_request(core: Rc<Core>, request: Rc<ShutdownRequest>) {
+    let requested_at = *request.0.wait().await;
     let longest_deadline = core.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-    let kill_at = signalled_at + longest_deadline.min(MAX_GRACE_DEADLINE_US) + KILL_MARGIN_US;
-    let last_move = kill_at.saturating_sub(LAST_MOVE_BEFORE_KILL_US).max(signalled_at);
+    let kill_at = requested_at + longest_deadline.min(MAX_GRACE_DEADLINE_US) + KILL_MARGIN_US;
+    let last_move = kill_at.saturating_sub(LAST_MOVE_BEFORE_KILL_US).max(requested_at);
     if hand_over_all(&core, last_move).await {
         return;
     }
     core.deadlines
-        .until(signalled_at + FIRST_MOVE_DELAY_US.min((kill_at - signalled_at) / FIRST_MOVE_DELAY_DIVISOR))
+        .until(requested_at + FIRST_MOVE_DELAY_US.min((kill_at - requested_at) / FIRST_MOVE_DELAY_DIVISOR))
         .await;
     while core.now() < last_move {
         let (time_left, established) = (last_move - core.now(), core.established_requests());
