Exit codes stay as documented where a message cannot be printed

What callers saw: with standard error on a full disk or with its reader gone, a config that cannot be used ended the program with exit code 101, not 2, and so would an error of the proxy. `version` and `check` ended so where standard output takes no write.

Cause: std's eprintln! and println! panic where the write fails.

Fix: the error message is written with writeln!, whose failure is ignored; the output of `version` and `check` that cannot be written is an error, exit code 1. argh's own usage messages are still printed by the library.

--- a/crates/pierloom/src/main.rs
+++ b/crates/pierloom/src/main.rs
@@ -10,6 +10,7 @@
 use pierloom_proxy::config::{self, Config, ErrorMessage};
 use pierloom_proxy::{Components, SignalHandlers};
 use settings::{LogFormat, ProgramSettings};
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::runtime::Runtime;
@@ -120,25 +121,28 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Prints an error message and returns the exit code.
+/// Prints an error message and returns the exit code, which is the same where the message cannot be written:
+/// `eprintln!` would panic.
 fn report_error(error: &str, code: u8) -> ExitCode {
-    eprintln!("pierloom: {error}");
+    let _ = writeln!(io::stderr(), "pierloom: {error}");
     ExitCode::from(code)
 }
 
+/// Prints the output of a command and returns the exit code.
+fn print_output(line: &str) -> ExitCode {
+    match writeln!(io::stdout(), "{line}") {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => report_error(&format!("standard output: {error}"), EXIT_FAILURE),
+    }
+}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let host = Host::os();
     match arguments.command {
-        Command::Version(_) => {
-            println!("pierloom {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
-        }
+        Command::Version(_) => print_output(concat!("pierloom ", env!("CARGO_PKG_VERSION"))),
         Command::Check(options) => match check(&host, options) {
-            Ok(message) => {
-                println!("{message}");
-                ExitCode::SUCCESS
-            }
+            Ok(message) => print_output(&message),
             Err(error) => report_error(&error, EXIT_BAD_CONFIG),
         },
         Command::Serve(options) => {
