--- a/crates/pierloom/tests/unwritable_output.rs
+++ b/crates/pierloom/tests/unwritable_output.rs
@@ -11,6 +11,7 @@
 };
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader};
+use std::process::{Child, Command};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,29 @@
     OpenOptions::new().write(true).open("/dev/full").unwrap()
 }
 
+/// A started program that is killed when the test ends, also when it fails.
+struct Program(Child);
+
+impl Program {
+    fn start(command: &mut Command) -> Self {
+        Program(command.spawn().unwrap())
+    }
+
+    /// Sends SIGTERM and returns the exit code.
+    fn stop(&mut self) -> Option<i32> {
+        send_signal(self.0.id(), "-TERM");
+        wait_for_exit(&mut self.0).code()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // The process may have exited already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 // Guards against an exit code that depends on whether the message beside it can be written.
 #[test]
 fn an_error_that_cannot_be_printed_keeps_its_exit_code() {
@@ -39,11 +63,10 @@
     let (discovery, backend) = (Discovery::new(), Backend::new("n"));
     let text = config_text(discovery.address, 1024, &backend.entry("ready"), SETTINGS);
     let path = write_config_file("full-log", &text);
-    let mut child =
-        program_command(&["serve"]).env("LB_CONFIG", &path).stderr(full_device()).spawn().unwrap();
+    let mut command = program_command(&["serve"]);
+    let mut program = Program::start(command.env("LB_CONFIG", &path).stderr(full_device()));
     discovery.wait_until_connected();
-    send_signal(child.id(), "-TERM");
-    assert_eq!(wait_for_exit(&mut child).code(), Some(0));
+    assert_eq!(program.stop(), Some(0));
 }
 
 // Guards against requests that get no answer because a log line panics: in the task of the request, or in the
@@ -55,8 +78,8 @@
     let settings = SETTINGS.replace("\"deadline\":4.8", "\"deadline\":0.8");
     let text = config_text(discovery.address, 1024, &backend.entry("ready"), &settings);
     let path = write_config_file("unread-log", &text);
-    let mut child = program_command(&["serve"]).env("LB_CONFIG", &path).spawn().unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut program = Program::start(program_command(&["serve"]).env("LB_CONFIG", &path));
+    let mut log = BufReader::new(program.0.stderr.take().unwrap());
     let mut line = String::new();
     log.read_line(&mut line).unwrap();
     drop(log);
@@ -72,6 +95,5 @@
         assert!(answer.starts_with("BUSY") || answer.starts_with("ERR"), "request {key}: {answer}");
         assert!(sent_at.elapsed() < deadline, "request {key}: answered after {:?}", sent_at.elapsed());
     }
-    send_signal(child.id(), "-TERM");
-    assert_eq!(wait_for_exit(&mut child).code(), Some(0));
+    assert_eq!(program.stop(), Some(0));
 }
