--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,6 +8,7 @@
 import rig
 
 TURN = 1.4          # how long the first call of a connection waits its turn
+AFTER_CALL = 0.25   # time from the last call of a watch to the first configuration
 BETWEEN = 0.8       # time between the two configurations
 RULE_SECONDS, RULE_REQUESTS = 4.0, 15
 
@@ -24,15 +25,20 @@
     flow = [asyncio.create_task(rig.traffic(record, proxy, clients, 0.1)) for proxy in proxies]
     await asyncio.sleep(3)
     if rig.TROUBLE:
+        # The calls of a watch follow one another; both configurations come while one of them waits.
+        calls = first.calls
+        while first.calls < calls + len(proxies):
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(AFTER_CALL)
         first.wait = second.wait = TURN
         for proxy in proxies:
             proxy.reload(second)
-        leave = asyncio.create_task(first.leave(lambda: False))
+        leaving = [asyncio.create_task(first.leave())]
         await asyncio.sleep(BETWEEN)
         await first.come_back()
         for proxy in proxies:
             proxy.reload(first)
-        leave = asyncio.create_task(second.leave())
+        leaving.append(asyncio.create_task(second.leave()))
     settled_at = time.monotonic() + 8
     await asyncio.sleep(20)
     for task in flow:
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -193,6 +193,7 @@
         self.whole_lists = False     # a watch is answered with the whole list
         self.wait = 0.0              # how long the first call of a connection waits its turn
         self.connections = set()
+        self.calls = 0
         self.told = []               # (time, index, names with status) of each answer with content
 
     async def start(self):
@@ -209,14 +210,14 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def leave(self, still_old=lambda: True):
+    async def leave(self):
         """No longer named in the configuration: takes no new connection, and closes the open ones after 1.5 s."""
         self.server.close()
+        open_ones = list(self.connections)
         await asyncio.sleep(1.5)
-        if still_old():
-            self.record(f"{self.name} closes its connections")
-            for writer in list(self.connections):
-                writer.close()
+        self.record(f"{self.name} closes the connections that were open when the configuration changed")
+        for writer in open_ones:
+            writer.close()
 
     async def come_back(self):
         """Named in the configuration again: takes connections at the same address."""
@@ -230,6 +231,7 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 path = head.split(b" ")[1].decode()
+                self.calls += 1
                 self.record(f"{self.name} called: {path}")
                 await asyncio.sleep(wait)
                 await self._answer(writer, path)
@@ -408,6 +410,19 @@
             self.writer.write(f"STILL {number}\r\n".encode())
 
 
+async def call(record, proxy, method, path):
+    """An operator's call at the console of a proxy. Returns the status, or 0 if nobody answers."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", proxy.console)
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: {proxy.name}\r\n\r\n".encode())
+        status = int((await asyncio.wait_for(reader.read(), 2)).split(b" ")[1])
+        writer.close()
+    except (OSError, asyncio.TimeoutError):
+        status = 0
+    record(f"{method} {path} at port {proxy.console}: {status}")
+    return status
+
+
 async def request(record, proxy, clients, **details):
     """A client that opens a connection and holds it; it is entered in `clients`."""
     client = Client(record, proxy, **details)
