--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,9 +9,9 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import rig
 
-CLIENTS = 10
+CLIENTS = 20
 # How often the operators ask for the new process's yes, and how often the bad client sends each id.
-ASK_EVERY, BAD_EVERY = 0.05, 0.02
+ASK_EVERY, BAD_EVERY = 0.25, 0.01
 
 
 async def bad_client(record, proxy, victim, served):
