--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -468,6 +468,8 @@
     proxies = []
 
     async def guarded():
+        # A script that is told to end still ends what it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(main(record, work, proxies), 110)
         finally:
@@ -478,7 +480,7 @@
     try:
         record(f"TROUBLE={int(TROUBLE)}")
         broken = asyncio.run(guarded())
-    except Exception as error:  # the case itself failed
+    except (Exception, asyncio.CancelledError) as error:  # the case itself failed
         record(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(COULD_NOT_RUN)
