--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -280,6 +280,8 @@
 class Proxy:
     """A proxy, started with the `run` command of the deploy file."""
 
+    running = []                 # every one that was started, for the end of the case
+
     def __init__(self, record, folder, name, discovery, servers, port=None, console=None, **changes):
         self.record, self.folder, self.name = record, folder, name
         self.port = port or free_port()
@@ -310,8 +312,11 @@
         if self.console:
             environment["LB_CONSOLE"] = self.config["console"]
         self.log = open(os.path.join(self.folder, f"log-{self.name}-{self.console or 0}.txt"), "w")
-        self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", deploy("run"), cwd=ROOT, env=environment, stdout=self.log, stderr=self.log)
+        # Not cancelled half-way: a process that exists is entered here, whatever ends the case.
+        starting = asyncio.ensure_future(asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", deploy("run"), cwd=ROOT, env=environment, stdout=self.log, stderr=self.log))
+        Proxy.running.append((self, starting))
+        self.process = await asyncio.shield(starting)
         self.record(f"started {self.name}, process {self.process.pid}, at port {self.port}")
         return self
 
@@ -341,10 +346,11 @@
         self.record(f"the configuration of {self.name} names {discovery.name} at {discovery.address}")
         self.signal(signal.SIGHUP)
 
-    async def stop(self):
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
+    async def stop(self, starting):
+        process = await starting
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
         self.log.close()
 
 
@@ -473,9 +479,9 @@
         try:
             return await asyncio.wait_for(main(record, work, proxies), 110)
         finally:
-            for proxy in proxies:
+            for proxy, starting in Proxy.running:
                 with contextlib.suppress(Exception):
-                    await proxy.stop()
+                    await proxy.stop(starting)
 
     try:
         record(f"TROUBLE={int(TROUBLE)}")
