The end of an attempt is reported however its request ends

What callers saw: a few clients sent a request and left at once. Later a service that all backends need was slow for 16 s, and after it had recovered all proxies refused everything, without an attempt, until they were started again.

Cause: the decision module counts an attempt from its Send on, the proxy counted it only once the task of the request had taken the command. A client whose end is read first left the command in the queue, and nobody reported the end of that attempt. It stayed one setup in progress for ever, and once setups fail everywhere, one is all that may be in progress.

Fix: the core starts the attempt when it carries out Send, in its entry of the request. Dropping the handle reports the end of whatever attempt is still there, as NotSent if the command was never taken. So no way out of a request can miss it. The end at the deadline tells the module before it waits for the client to read the answer. At each end of a request the proxy looks whether the module still holds it: a log line, and a panic in debug builds.

--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -602,6 +602,11 @@
         self.index.contains_key(backend) || self.backends_in_maintenance.contains(backend)
     }
 
+    /// Whether a request is held, or has an attempt in progress or an established connection.
+    pub fn holds_request(&self, id: RequestId) -> bool {
+        self.requests.contains_key(&id)
+    }
+
     /// The backends in maintenance.
     pub fn backends_in_maintenance(&self) -> impl Iterator<Item = &str> {
         self.backends_in_maintenance.iter().map(|backend| &**backend)
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -54,6 +54,44 @@
 struct ActiveRequest {
     commands: UnboundedSender<RequestCommand>,
     established: bool,
+    /// Number of attempts started.
+    attempts: u32,
+    /// The attempt whose end the decision module has not been told yet.
+    attempt: Option<AttemptInProgress>,
+}
+
+impl ActiveRequest {
+    fn new(commands: UnboundedSender<RequestCommand>) -> Self {
+        ActiveRequest { commands, established: false, attempts: 0, attempt: None }
+    }
+
+    /// Starts an attempt, unless one is in progress already.
+    fn start_attempt(&mut self, started_at: Micros, is_handled: bool) -> bool {
+        if self.attempt.is_some() {
+            return false;
+        }
+        self.attempt = Some(AttemptInProgress { number: self.attempts, started_at, is_handled });
+        self.attempts += 1;
+        true
+    }
+}
+
+/// An attempt from the moment in which the decision module counts it. Its end is reported however its request
+/// ends, also if the task of the request never learns of it.
+#[derive(Clone, Copy)]
+struct AttemptInProgress {
+    /// Number of the attempt, from 0.
+    number: u32,
+    started_at: Micros,
+    /// Whether the task of the request knows of the attempt. Nothing is sent before that.
+    is_handled: bool,
+}
+
+impl AttemptInProgress {
+    /// The status of an attempt that ends because its request does.
+    fn status_at_request_end(&self) -> Status {
+        if self.is_handled { Status::Cancelled } else { Status::NotSent }
+    }
 }
 
 /// The last reported delay of a backend.
@@ -196,9 +234,7 @@
         actions.iter().for_each(|action| self.event_counts.borrow_mut().count_action(now, action, trigger));
         for action in actions {
             match action {
-                Action::Send { id, backend, until } => {
-                    self.send_command(id, RequestCommand::Attempt { backend, until })
-                }
+                Action::Send { id, backend, until } => self.start_attempt(id, backend, until),
                 Action::Refuse { id, retry_after } => {
                     self.send_command(id, RequestCommand::Refuse(retry_after))
                 }
@@ -221,6 +257,19 @@
         self.event_counts.borrow_mut().count_event(now, event);
     }
 
+    /// Starts an attempt that the decision module counts from now on, and sends the command for it.
+    fn start_attempt(&self, id: RequestId, backend: BackendId, until: Micros) {
+        let now = self.now();
+        let mut requests = self.requests.borrow_mut();
+        // The decision module starts attempts only of requests whose end it has not been told.
+        let Some(request) = requests.get_mut(&id) else {
+            return tracing::error!(target: "job", "request {id}: an attempt after its end");
+        };
+        if request.start_attempt(now, false) {
+            let _ = request.commands.send(RequestCommand::Attempt { backend, until });
+        }
+    }
+
     /// Sends a command to a request. A request that has ended meanwhile needs no command.
     pub fn send_command(&self, id: RequestId, command: RequestCommand) {
         if let Some(request) = self.requests.borrow().get(&id) {
@@ -380,10 +429,6 @@
     pub identity: String,
     /// The commands for this request.
     pub commands: UnboundedReceiver<RequestCommand>,
-    /// Number of attempts started.
-    attempts: u32,
-    /// When the attempt in progress started.
-    attempt_started_at: Option<Micros>,
     /// Whether the final answer is known, or the decision module expects none.
     answered: bool,
 }
@@ -396,18 +441,9 @@
         }
         let id = core.next_request_id.replace(core.next_request_id.get() + 1);
         let (sender, commands) = unbounded_channel();
-        core.requests.borrow_mut().insert(id, ActiveRequest { commands: sender, established: false });
+        core.requests.borrow_mut().insert(id, ActiveRequest::new(sender));
         let (core, identity) = (core.clone(), identity.to_string());
-        Some(RequestHandle {
-            core,
-            id,
-            class,
-            identity,
-            commands,
-            attempts: 0,
-            attempt_started_at: None,
-            answered: false,
-        })
+        Some(RequestHandle { core, id, class, identity, commands, answered: false })
     }
 
     /// The class of the request.
@@ -415,18 +451,33 @@
         self.class
     }
 
-    /// Records the start of an attempt.
-    pub fn start_attempt(&mut self) {
-        self.attempts += 1;
-        self.attempt_started_at = Some(self.core.now());
+    /// Changes the state of this request that the core keeps.
+    fn update<T>(&self, update: impl FnOnce(&mut ActiveRequest) -> T) -> Option<T> {
+        self.core.requests.borrow_mut().get_mut(&self.id).map(update)
+    }
+
+    /// Records that the task of the request knows of its attempt, and is about to make it.
+    pub fn handle_attempt(&mut self) {
+        self.update(|request| {
+            if let Some(attempt) = &mut request.attempt {
+                attempt.is_handled = true;
+            }
+        });
+    }
+
+    /// Records the attempt of a connection that was established elsewhere, which the decision module did not
+    /// start.
+    pub fn start_resumed_attempt(&mut self) {
+        let now = self.core.now();
+        self.update(|request| request.start_attempt(now, true));
     }
 
     /// Records that the attempt's connection is established, and reports it to the decision module.
     pub fn report_established(&mut self) {
-        let started = self.attempt_started_at.unwrap_or_else(|| self.core.now());
-        let latency = self.core.now() - started;
         self.record_established();
-        self.core.dispatch_event(Event::Established { id: self.id, attempt: self.attempts - 1, latency });
+        let Some(attempt) = self.update(|request| request.attempt).flatten() else { return };
+        let latency = self.core.now() - attempt.started_at;
+        self.core.dispatch_event(Event::Established { id: self.id, attempt: attempt.number, latency });
     }
 
     /// Records an established connection that the predecessor process handed over. That process counted its
@@ -448,21 +499,28 @@
     }
 
     fn set_established(&self) {
-        if let Some(request) = self.core.requests.borrow_mut().get_mut(&self.id) {
-            request.established = true;
-        }
+        self.update(|request| request.established = true);
     }
 
     /// Ends the attempt in progress, if there is one, and reports its result to the decision module.
     pub fn end_attempt(&mut self, status: Status) {
-        let Some(started) = self.attempt_started_at.take() else { return };
-        if let Some(request) = self.core.requests.borrow_mut().get_mut(&self.id) {
+        let ended = self.update(|request| {
             request.established = false;
+            request.attempt.take()
+        });
+        if let Some(attempt) = ended.flatten() {
+            self.report_attempt_end(attempt, status);
         }
-        let (now, closed) = (self.core.now(), self.answered);
-        let attempt = self.attempts - 1;
-        let result = AttemptResult { id: self.id, attempt, status, latency: now - started, closed };
-        self.core.dispatch_event(Event::AttemptEnded(result));
+    }
+
+    fn report_attempt_end(&self, attempt: AttemptInProgress, status: Status) {
+        self.core.dispatch_event(Event::AttemptEnded(AttemptResult {
+            id: self.id,
+            attempt: attempt.number,
+            status,
+            latency: self.core.now() - attempt.started_at,
+            closed: self.answered,
+        }));
     }
 
     /// Records and counts the final answer, which the decision module knows as well.
@@ -479,17 +537,34 @@
 
 impl Drop for RequestHandle {
     fn drop(&mut self) {
-        self.core.requests.borrow_mut().remove(&self.id);
+        let request = self.core.requests.borrow_mut().remove(&self.id);
         self.core.identities.borrow_mut().remove(&self.identity);
         self.core.notify_if_idle();
-        let finish = AssertUnwindSafe(|| {
-            if !std::mem::replace(&mut self.answered, true) {
-                self.core.dispatch_event(Event::ClientGone(self.id));
-            }
-            self.end_attempt(Status::Cancelled);
-        });
-        // A second panic while a first one unwinds this task would abort the process.
-        if catch_unwind(finish).is_err() {
+        if !std::mem::replace(&mut self.answered, true) {
+            self.report_despite_panic(|| self.core.dispatch_event(Event::ClientGone(self.id)));
+        }
+        if let Some(attempt) = request.and_then(|request| request.attempt) {
+            self.report_despite_panic(|| self.report_attempt_end(attempt, attempt.status_at_request_end()));
+        }
+        self.report_despite_panic(|| self.check_forgotten());
+    }
+}
+
+impl RequestHandle {
+    /// Checks that the decision module waits for nothing more of this request. What it waited for would count
+    /// as in progress for ever.
+    fn check_forgotten(&self) {
+        let is_held = self.core.module.borrow().balancer().holds_request(self.id);
+        if is_held {
+            tracing::error!(target: "job", "request {}: the decision module still holds it", self.id);
+        }
+        debug_assert!(!is_held, "the decision module still holds request {}", self.id);
+    }
+
+    /// Reports the end of the request. A second panic while a first one unwinds the task of the request would
+    /// abort the process.
+    fn report_despite_panic(&self, report: impl FnOnce()) {
+        if catch_unwind(AssertUnwindSafe(report)).is_err() {
             tracing::error!(target: "job", "request {}: panic while its handle was dropped", self.id);
         }
     }
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -58,7 +58,7 @@
                 if let Some(interruption) = interruption_now(&client) {
                     return end_interrupted(&core, &*protocol, request_handle, client, interruption).await;
                 }
-                request_handle.start_attempt();
+                request_handle.handle_attempt();
                 let (id, late_interruption) = (request_handle.id, Cell::new(None));
                 // Guards against changes while the proxy was connecting: a drain of the backend may
                 // have begun, the client may have left, and the repeat window or the remaining time may have
@@ -103,8 +103,7 @@
         }
     };
     let Some((connection, backend)) = connection else {
-        core.metrics.count_answer(class, FinalAnswer::Failed);
-        return send_and_close(&core, client, &protocol.failure()).await;
+        return end_with_failure(&core, &*protocol, request_handle, client).await;
     };
     request_handle.report_established();
     let (established, trailing) = EstablishedConnection::from_attempt(client, connection);
@@ -185,7 +184,7 @@
         BackendId::from(backend),
         Request { id: request_handle.id, class, key, group, load_hint: load, ..Request::default() },
     );
-    request_handle.start_attempt();
+    request_handle.start_resumed_attempt();
     core.dispatch_event(Event::Resumed(request.clone(), backend.clone()));
     request_handle.record_adopted();
     let task_core = core.clone();
@@ -241,7 +240,7 @@
             return send_and_close(core, client, &protocol.failure()).await;
         }
     };
-    request_handle.start_attempt();
+    request_handle.start_resumed_attempt();
     core.dispatch_event(Event::Resumed(request.clone(), backend.clone()));
     request_handle.record_established();
     let (established, trailing) = EstablishedConnection::from_attempt(client, connection);
@@ -291,15 +290,26 @@
     client: TcpStream,
     interruption: Interruption,
 ) {
-    let _guard = core.shutdown_guard();
-    let class = request_handle.class();
-    // Reports to the decision module that the client is gone, which holds for the module in either case.
-    drop(request_handle);
     match interruption {
+        // The end of the handle reports to the decision module that the client is gone.
         Interruption::ConnectionLost => {}
         Interruption::SendingEnded | Interruption::UnexpectedData => {
-            core.metrics.count_answer(class, FinalAnswer::Failed);
-            send_and_close(core, client, &protocol.failure()).await;
+            end_with_failure(core, protocol, request_handle, client).await
         }
     }
 }
+
+/// Sends a failure to a client whose request the decision module has not answered.
+async fn end_with_failure(
+    core: &Rc<Core>,
+    protocol: &dyn Protocol,
+    request_handle: RequestHandle,
+    client: TcpStream,
+) {
+    let _guard = core.shutdown_guard();
+    core.metrics.count_answer(request_handle.class(), FinalAnswer::Failed);
+    // Reports to the decision module that the client is gone, before the wait for the client to read the answer:
+    // no attempt may start meanwhile.
+    drop(request_handle);
+    send_and_close(core, client, &protocol.failure()).await;
+}
