A setup whose end is never reported holds up others only until its time limit

It knows until when the proxy waits for each attempt, and did not use that. The limit on setups was a number that only an end gave back, so that one lost end stopped a proxy for good once setups had failed everywhere.

The limit now keeps, for each setup in progress, until when the proxy waits for it, and counts it only until then.

a_setup_whose_end_is_never_reported_holds_up_others_only_until_its_time_limit failed before. All tests of the decision module pass.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -411,15 +411,16 @@
 
     /// Records in the setup limit how a setup ended that established no connection.
     fn record_setup(&mut self, now: Micros, status: Status, i: usize, sent_at: Micros, state: &RequestState) {
+        let id = state.request.id;
         match status {
-            Status::Ok => self.setup_limit.record_success(),
+            Status::Ok => self.setup_limit.record_success(id),
             Status::Error | Status::Timeout => {
                 let class = self.class(&state.request);
                 let (target, deadline, location) =
                     (class.setup_target, class.deadline, (i, self.backends[i].member.zone));
-                self.setup_limit.record_failure(now, sent_at, location, target, deadline);
+                self.setup_limit.record_failure(now, id, sent_at, location, target, deadline);
             }
-            _ => self.setup_limit.finish(),
+            _ => self.setup_limit.finish(id),
         }
     }
 
--- a/crates/decision/src/setup_limit.rs
+++ b/crates/decision/src/setup_limit.rs
@@ -3,8 +3,8 @@
 //! slow. Attempts at other backends and clients that reconnect only keep it overloaded, long after the first
 //! cause is over. This module keeps the bounds; `logic` decides.
 
-use crate::api::Micros;
-use std::collections::BTreeSet;
+use crate::api::{Micros, RequestId};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Number of backends with failed setups, without a success in between, from which the cause counts as
 /// shared. Failures at two backends may be chance.
@@ -40,8 +40,9 @@
     failed_backends: BTreeSet<(usize, u16)>,
     /// Number of backends with failed setups from which the cause counts as shared.
     shared_failure_backends: usize,
-    /// Setups in progress.
-    in_progress: u32,
+    /// For each setup in progress, the time at which the host stops waiting for it. A setup whose end was
+    /// never reported counts until that time.
+    in_progress: BTreeMap<RequestId, Micros>,
     /// The most setups that may be in progress; `None` while there is no limit.
     max_in_progress: Option<u32>,
     /// Pause between two setups; 0 while setups succeed.
@@ -63,7 +64,7 @@
             } else {
                 SHARED_FAILURE_BACKENDS
             },
-            in_progress: 0,
+            in_progress: BTreeMap::new(),
             max_in_progress: None,
             pause: 0,
             next_at: 0,
@@ -71,19 +72,19 @@
         }
     }
 
-    /// Counts a setup that starts.
-    pub fn start(&mut self) {
-        self.in_progress += 1;
+    /// Records a setup that starts. The host stops waiting for it at `until`.
+    pub fn start(&mut self, id: RequestId, until: Micros) {
+        self.in_progress.insert(id, until);
     }
 
-    /// Counts the end of a setup whose result says nothing about a shared cause.
-    pub fn finish(&mut self) {
-        self.in_progress = self.in_progress.saturating_sub(1);
+    /// Records the end of a setup whose result says nothing about a shared cause.
+    pub fn finish(&mut self, id: RequestId) {
+        self.in_progress.remove(&id);
     }
 
     /// Records a setup that succeeded: twice as many may now be in progress.
-    pub fn record_success(&mut self) {
-        self.finish();
+    pub fn record_success(&mut self, id: RequestId) {
+        self.finish(id);
         self.failed_backends.clear();
         self.shared_failure_backends = SHARED_FAILURE_BACKENDS;
         self.pause = 0;
@@ -92,18 +93,19 @@
             self.max_in_progress.map(|most| most * 2).filter(|&most| most < LIMIT_REMOVAL_THRESHOLD);
     }
 
-    /// Records a setup that failed or had no answer in time. It was sent at `sent_at` to `backend`, given by
+    /// Records a setup, of the request `id`, that failed or had no answer in time. It was sent at `sent_at` to `backend`, given by
     /// its index and its zone. `setup_target` is the wanted duration of a setup. The client gives up after
     /// `deadline`.
     pub fn record_failure(
         &mut self,
         now: Micros,
+        id: RequestId,
         sent_at: Micros,
         backend: (usize, u16),
         setup_target: Micros,
         deadline: Micros,
     ) {
-        self.finish();
+        self.finish(id);
         self.failed_backends.insert(backend);
         if !self.is_shared_failure() || sent_at < self.lowered_at {
             return;
@@ -128,10 +130,15 @@
         self.max_in_progress.is_some()
     }
 
+    /// The number of setups that the host may still be waiting for.
+    fn count_in_progress(&self, now: Micros) -> usize {
+        self.in_progress.values().filter(|&&until| now <= until).count()
+    }
+
     /// The earliest time at which the next setup may start, as far as is known; `now` without an obstacle.
     pub fn next_at(&self, now: Micros, setup_target: Micros) -> Micros {
         match self.max_in_progress {
-            Some(most) if self.in_progress >= most => {
+            Some(most) if self.count_in_progress(now) >= most as usize => {
                 self.next_at.max(now + setup_target / FIRST_PAUSE_DIVISOR)
             }
             Some(_) => self.next_at.max(now),
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -653,7 +653,7 @@
     /// Records that an attempt was sent.
     pub(crate) fn start_attempt(&mut self, mut state: RequestState, i: usize, now: Micros, until: Micros) {
         self.update_load(i, state.load, true);
-        self.setup_limit.start();
+        self.setup_limit.start(state.request.id, until);
         self.backends[i].returned_to_service = false;
         state.attempts += 1;
         state.current_attempt = Some((i, now, until));
@@ -673,7 +673,7 @@
             self.requests.get_mut(&id).filter(|state| state.attempts == attempt + 1 && !state.established)?;
         let (i, ..) = state.current_attempt?;
         (state.established, state.answered) = (true, true);
-        self.setup_limit.record_success();
+        self.setup_limit.record_success(id);
         let (request, load) = (state.request.clone(), state.load);
         self.set_established(i, id, true);
         if let Some(key) = request.key {
--- a/crates/decision/tests/setup_limit.rs
+++ b/crates/decision/tests/setup_limit.rs
@@ -67,6 +67,19 @@
     assert_eq!(try_request(&mut d, 2, |_| true), (0, false), "refused at once");
 }
 
+/// Guards against a proxy that refuses everything for good: one setup whose end the host never reports must not
+/// hold up all others once the host has stopped waiting for it.
+#[test]
+fn a_setup_whose_end_is_never_reported_holds_up_others_only_until_its_time_limit() {
+    let mut d = Driver::new(Settings { max_attempts: 6, ..settings() }, 30);
+    assert!(sent(&d.request(1)).is_some(), "its end is never reported");
+    d.event(Event::ClientGone(1));
+    try_request(&mut d, 2, |_| true);
+    // The time limit of the lost setup, which its client's deadline bounds, and the pause after the failures.
+    d.now += 2 * S + 300 * MS;
+    assert!(try_request(&mut d, 3, |_| false).1, "a setup that would succeed starts");
+}
+
 /// Guards against an attempt that is given up early to leave time for further attempts, although no other
 /// attempt follows one under the limit.
 #[test]
