The log's count of connections no longer falls with clients that leave early

What operators saw: "standing" in the ledger line fell by one, and "over" rose, with each client that left during an attempt, though its connection was never established. Found by reading, among the counts that only the end of an attempt gives back.

Cause: the count took "the request has its final answer" for "its connection was established". A client that leaves has both its answer and no connection.

Fix: the requests with established connections are kept by id. An attempt that ends without one counts among the failed attempts.

a_client_that_leaves_during_an_attempt_changes_no_count_of_connections failed before ("left=1 over=1 up=1 ... standing=0").

--- a/crates/proxy/src/event_counts.rs
+++ b/crates/proxy/src/event_counts.rs
@@ -3,9 +3,10 @@
 //! little.
 
 use pierloom_decision::{
-    Action, AttemptResult, BackendId, Event, ListKind, Measurement, MemberState, Micros, Settings, Status,
+    Action, AttemptResult, BackendId, Event, ListKind, Measurement, MemberState, Micros, RequestId, Settings,
+    Status,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 
 const SECOND_US: Micros = 1_000_000;
@@ -26,7 +27,8 @@
     backends: BTreeMap<BackendId, ListedBackend>,
     /// When discovery last reported the endpoints or answered a watch.
     endpoints_updated_at: Micros,
-    established: u64,
+    /// The requests whose connections are established.
+    established: BTreeSet<RequestId>,
 }
 
 impl EventCounts {
@@ -39,7 +41,7 @@
             counts: BTreeMap::new(),
             backends: BTreeMap::new(),
             endpoints_updated_at: now,
-            established: 0,
+            established: BTreeSet::new(),
         }
     }
 
@@ -58,7 +60,7 @@
             let _ = write!(line, " {name}={count}");
         }
         let age = ((second + 1) * SECOND_US).saturating_sub(self.endpoints_updated_at) / 1_000;
-        let _ = write!(line, " standing={} list_age_ms={age}", self.established);
+        let _ = write!(line, " standing={} list_age_ms={age}", self.established.len());
         Some(line)
     }
 
@@ -66,12 +68,12 @@
     pub fn count_event(&mut self, now: Micros, event: &Event) {
         match event {
             Event::Request(_) => self.add("jobs", 1),
-            Event::Resumed(..) => {
-                self.established += 1;
+            Event::Resumed(request, _) => {
+                self.established.insert(request.id);
                 self.add("resumed", 1);
             }
-            Event::Established { latency, .. } => {
-                self.established += 1;
+            Event::Established { id, latency, .. } => {
+                self.established.insert(*id);
                 self.add("up", 1);
                 self.add("up_wait_ms", latency / 1_000);
             }
@@ -105,11 +107,9 @@
 
     /// Counts the end of an attempt, or of the connection that it established.
     fn count_attempt_end(&mut self, result: &AttemptResult) {
-        if result.closed {
-            self.established = self.established.saturating_sub(1);
-        }
+        let was_established = self.established.remove(&result.id);
         self.add(
-            match (result.closed, result.status) {
+            match (was_established, result.status) {
                 (true, Status::Reset) => "broken",
                 (true, _) => "over",
                 (false, Status::Overloaded) => "claims_full",
@@ -218,4 +218,18 @@
         );
         assert_eq!(counts.finish_second(104 * SECOND_US), None, "nothing happened");
     }
+
+    // Guards against a count of connections that falls with each client that leaves during an attempt.
+    #[test]
+    fn a_client_that_leaves_during_an_attempt_changes_no_count_of_connections() {
+        let mut counts = EventCounts::new(&Settings::default(), 100 * SECOND_US);
+        counts.count_event(100 * SECOND_US, &Event::Established { id: 1, attempt: 0, latency: 30_000 });
+        let (attempt, latency) = (0, 10_000);
+        let result = AttemptResult { id: 2, attempt, status: Status::Cancelled, latency, closed: true };
+        counts.count_event(100 * SECOND_US, &Event::ClientGone(2));
+        counts.count_event(100 * SECOND_US, &Event::AttemptEnded(result));
+        let line = counts.finish_second(101 * SECOND_US).unwrap();
+        assert!(line.contains(" left=1 ") && line.contains(" standing=1 "), "{line}");
+        assert!(!line.contains("over="), "no connection has ended: {line}");
+    }
 }
