During an upgrade one process alone registers requests, for both

What callers saw: a client that sent the id of another client's open request got ERR, but during an upgrade the new process served it. A backend got a second first line with that id while the first connection was open, and the first client lost its place at the handover.

Cause: the ids in use were those of one process. The successor was told how many requests the predecessor held, not which, and it accepted clients before it had any of them.

Fix: the state names the ids; the successor accepts only once the predecessor has stopped and has told its ids as they are then. From that message on the predecessor registers nothing: a client that it had accepted before is passed on with its request line. It reports each id that becomes free. With the end of either process the other one has the ids alone. All of it follows from the order of messages on one connection, and no request waits for an answer of the other process. A version that does not know the messages is sent none.

The messages between the two processes move to a module of their own.

--- a/crates/pierloom/tests/harness/console.rs
+++ b/crates/pierloom/tests/harness/console.rs
@@ -1,6 +1,6 @@
 //! Calls to a proxy's console.
 
-use super::Peer;
+use super::{Peer, poll_until};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -20,3 +20,9 @@
     let line = page.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
     line.unwrap_or_else(|| panic!("no {name} in {page}")).parse().unwrap()
 }
+
+/// Polls the health check until it succeeds.
+pub fn wait_until_healthy(console: SocketAddr) {
+    poll_until(|| (call_console(console, "GET", "/healthcheck").0 == 200).then_some(()))
+        .expect("a process that serves");
+}
--- a/crates/pierloom/tests/harness/handover.rs
+++ b/crates/pierloom/tests/harness/handover.rs
@@ -1,7 +1,7 @@
 //! Handovers between two processes of the program.
 
 use super::EVENT_TIMEOUT;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 
@@ -48,6 +48,20 @@
     }
 }
 
+impl HandoverPeer {
+    /// Reads the next message that does not contain `skipped`.
+    pub fn message_after(&mut self, skipped: &str) -> String {
+        std::iter::repeat_with(|| self.message()).find(|message| !message.contains(skipped)).unwrap()
+    }
+
+    /// Reads all messages until the other process closes.
+    pub fn remaining_messages(&mut self) -> String {
+        let mut messages = String::new();
+        self.messages.read_to_string(&mut messages).unwrap();
+        messages
+    }
+}
+
 /// A folder shared by proxy processes that upgrade each other.
 pub struct Folder(pub PathBuf);
 
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -3,6 +3,8 @@
 
 use crate::deadlines::Deadlines;
 use crate::event_counts::{ActionTrigger, EventCounts};
+use crate::handover::PendingHandover;
+use crate::identities::Identities;
 use crate::metrics::{FinalAnswer, Gauges, Metrics};
 use crate::relay::EstablishedConnection;
 use crate::request_handler::HandoverRecord;
@@ -10,9 +12,9 @@
     Action, AttemptResult, BackendId, Balancer, Event, LearnedState, Measurement, Micros, RequestId,
     Settings, Status,
 };
-use pierloom_host::Host;
+use pierloom_host::{Host, TcpStream};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::pin;
@@ -41,16 +43,6 @@
     HandOver,
 }
 
-/// A connection on its way to the successor process.
-pub struct PendingHandover {
-    /// The description of the connection that is sent along.
-    pub record: HandoverRecord,
-    /// The connection itself.
-    pub connection: EstablishedConnection,
-    /// Receives `Ok` once the successor holds the connection, or the connection back.
-    pub done: oneshot::Sender<Result<(), EstablishedConnection>>,
-}
-
 struct ActiveRequest {
     commands: UnboundedSender<RequestCommand>,
     established: bool,
@@ -128,8 +120,8 @@
     /// All timers of the process.
     pub deadlines: Deadlines,
     requests: RefCell<BTreeMap<RequestId, ActiveRequest>>,
-    /// The identity of each active request, as its client sent it.
-    identities: RefCell<BTreeSet<String>>,
+    /// The identities of all active requests, as their clients sent them.
+    pub identities: RefCell<Identities>,
     next_request_id: Cell<RequestId>,
     addresses: RefCell<BTreeMap<BackendId, SocketAddr>>,
     list_requested: Notify,
@@ -339,16 +331,32 @@
     pub async fn hand_over_connection(
         &self,
         record: HandoverRecord,
-        established: EstablishedConnection,
+        connection: EstablishedConnection,
     ) -> Result<(), EstablishedConnection> {
         let (done, outcome) = oneshot::channel();
-        let Some(successor) = self.successor.borrow().clone() else { return Err(established) };
-        match successor.send(PendingHandover { record, connection: established, done }) {
-            // The handover task returns an unaccepted connection before it ends. A panic in that task loses
-            // the connection.
-            Ok(()) => outcome.await.unwrap_or(Ok(())),
-            Err(unsent) => Err(unsent.0.connection),
+        let Some(successor) = self.successor.borrow().clone() else { return Err(connection) };
+        let connection = Box::new(connection);
+        if let Err(unsent) = successor.send(PendingHandover::Connection { record, connection, done }) {
+            unsent.0.finish(false);
         }
+        // The handover task returns what was not accepted before it ends. A panic in that task loses it.
+        outcome.await.unwrap_or(Ok(()))
+    }
+
+    /// Hands a client over to the successor process, with its request line. Returns the client where no successor
+    /// took it.
+    pub async fn hand_over_client(&self, request_line: String, client: TcpStream) -> Result<(), TcpStream> {
+        let (done, outcome) = oneshot::channel();
+        let Some(successor) = self.successor.borrow().clone() else { return Err(client) };
+        if let Err(unsent) = successor.send(PendingHandover::Client { request_line, client, done }) {
+            unsent.0.finish(false);
+        }
+        outcome.await.unwrap_or(Ok(()))
+    }
+
+    /// Whether the successor process serves all new requests, as it alone reserves identities.
+    pub fn successor_serves_requests(&self) -> bool {
+        self.identities.borrow().are_shared()
     }
 
     /// The number of active requests.
@@ -434,16 +442,25 @@
 }
 
 impl RequestHandle {
-    /// Registers a request of that class. `None` if a request with that identity is active already.
+    /// Registers a request of that class. `None` if a request with that identity is active already, in this
+    /// process or in its predecessor.
     pub fn register(core: &Rc<Core>, identity: &str, class: usize) -> Option<Self> {
-        if !core.identities.borrow_mut().insert(identity.to_string()) {
-            return None;
-        }
+        core.identities.borrow_mut().reserve(identity).then(|| Self::create(core, identity, class))
+    }
+
+    /// Registers a request that the predecessor hands over. `None` if a request with that identity is active in
+    /// this process.
+    pub fn adopt(core: &Rc<Core>, identity: &str, class: usize) -> Option<Self> {
+        core.identities.borrow_mut().adopt(identity).then(|| Self::create(core, identity, class))
+    }
+
+    /// Creates the handle of a request whose identity is reserved.
+    fn create(core: &Rc<Core>, identity: &str, class: usize) -> Self {
         let id = core.next_request_id.replace(core.next_request_id.get() + 1);
         let (sender, commands) = unbounded_channel();
         core.requests.borrow_mut().insert(id, ActiveRequest::new(sender));
         let (core, identity) = (core.clone(), identity.to_string());
-        Some(RequestHandle { core, id, class, identity, commands, answered: false })
+        RequestHandle { core, id, class, identity, commands, answered: false }
     }
 
     /// The class of the request.
@@ -538,7 +555,7 @@
 impl Drop for RequestHandle {
     fn drop(&mut self) {
         let request = self.core.requests.borrow_mut().remove(&self.id);
-        self.core.identities.borrow_mut().remove(&self.identity);
+        self.core.identities.borrow_mut().release(&self.identity);
         self.core.notify_if_idle();
         if !std::mem::replace(&mut self.answered, true) {
             self.report_despite_panic(|| self.core.dispatch_event(Event::ClientGone(self.id)));
--- /dev/null
+++ b/crates/proxy/src/identities.rs
@@ -0,0 +1,131 @@
+//! The identities of active requests. During an upgrade the two processes count as one proxy: an identity is
+//! active in at most one of them.
+//!
+//! Only one process at a time reserves identities for new requests. A process does so until it has told its
+//! successor its active identities, and from then on reports each of them that becomes free.
+
+use std::collections::BTreeSet;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// The active identities of this process and of its predecessor.
+#[derive(Default)]
+pub struct Identities {
+    /// Those of this process's requests.
+    own: BTreeSet<String>,
+    /// Those of the requests that the predecessor still holds.
+    predecessor: BTreeSet<String>,
+    /// Receives each identity that becomes free, for the successor. `None` while this process reserves
+    /// identities itself.
+    successor: Option<UnboundedSender<String>>,
+}
+
+impl Identities {
+    /// Reserves an identity for a request of this process. Returns false if it is active already.
+    pub fn reserve(&mut self, identity: &str) -> bool {
+        !self.predecessor.contains(identity) && self.own.insert(identity.to_string())
+    }
+
+    /// Takes over an identity with a connection of the predecessor. Returns false if this process has a request
+    /// with it.
+    pub fn adopt(&mut self, identity: &str) -> bool {
+        self.predecessor.remove(identity);
+        self.own.insert(identity.to_string())
+    }
+
+    /// Frees the identity of a request of this process.
+    pub fn release(&mut self, identity: &str) {
+        self.own.remove(identity);
+        self.report_free(identity);
+    }
+
+    /// Replaces the identities of the predecessor's requests.
+    pub fn set_predecessor(&mut self, identities: Vec<String>) {
+        let before = std::mem::replace(&mut self.predecessor, identities.into_iter().collect());
+        before.iter().for_each(|identity| self.report_free(identity));
+    }
+
+    /// Frees the identity of a request that has ended at the predecessor.
+    pub fn release_predecessor(&mut self, identity: &str) {
+        self.predecessor.remove(identity);
+        self.report_free(identity);
+    }
+
+    /// Tells the successor all active identities, and from now on each that becomes free. This process reserves
+    /// none for new requests until [`Self::unshare`].
+    pub fn share(&mut self) -> (Vec<String>, UnboundedReceiver<String>) {
+        let (sender, free) = unbounded_channel();
+        self.successor = Some(sender);
+        (self.active(), free)
+    }
+
+    /// Ends the sharing with a successor that has gone.
+    pub fn unshare(&mut self) {
+        self.successor = None;
+    }
+
+    /// Whether the successor reserves the identities of new requests.
+    pub fn are_shared(&self) -> bool {
+        self.successor.is_some()
+    }
+
+    /// All active identities.
+    pub fn active(&self) -> Vec<String> {
+        self.own.union(&self.predecessor).cloned().collect()
+    }
+
+    /// Tells the successor that an identity is free, unless it is active in the other set.
+    fn report_free(&self, identity: &str) {
+        if self.own.contains(identity) || self.predecessor.contains(identity) {
+            return;
+        }
+        if let Some(successor) = &self.successor {
+            // A successor that has gone needs no report.
+            let _ = successor.send(identity.to_string());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn strings(identities: &[&str]) -> Vec<String> {
+        identities.iter().map(ToString::to_string).collect()
+    }
+
+    // Guards against a second copy of a request that the predecessor holds, holds no longer, or has handed over.
+    #[test]
+    fn an_identity_is_active_once_at_both_processes_together() {
+        let mut identities = Identities::default();
+        identities.set_predecessor(strings(&["a", "b"]));
+        assert!(identities.reserve("c") && !identities.reserve("c"));
+        assert!(!identities.reserve("a"));
+        identities.release_predecessor("a");
+        assert!(identities.reserve("a"));
+        assert!(identities.adopt("b") && !identities.reserve("b"), "handed over");
+        // The predecessor frees what it has handed over.
+        identities.release_predecessor("b");
+        assert!(!identities.reserve("b"));
+        assert!(!identities.adopt("c"), "another request has it here");
+    }
+
+    // Guards against an identity that a third process refuses for good, or serves too early, while two upgrades
+    // are in progress.
+    #[test]
+    fn the_successor_learns_when_an_identity_is_free_at_both_earlier_processes() {
+        let mut identities = Identities::default();
+        identities.set_predecessor(strings(&["a", "b", "c"]));
+        assert!(identities.reserve("d"));
+        let (active, mut free) = identities.share();
+        assert_eq!(active, strings(&["a", "b", "c", "d"]));
+        assert!(identities.adopt("a"));
+        identities.release_predecessor("a");
+        assert!(free.try_recv().is_err(), "adopted");
+        identities.release("a");
+        identities.release("d");
+        // The predecessor has ended.
+        identities.set_predecessor(Vec::new());
+        let reported: Vec<String> = std::iter::from_fn(|| free.try_recv().ok()).collect();
+        assert_eq!(reported, strings(&["a", "d", "b", "c"]));
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,8 @@
 mod core;
 mod deadlines;
 mod event_counts;
+mod handover;
+mod identities;
 mod listener;
 mod metrics;
 mod pending;
@@ -125,7 +127,7 @@
     let (tcp_listener, predecessor) = match takeover {
         Some(takeover) => {
             core.dispatch_event(Event::LearnedState(Box::new(takeover.learned_state)));
-            (takeover.listener, Some((takeover.channel, takeover.active_requests)))
+            (takeover.listener, Some(takeover.predecessor))
         }
         None => (Listener::bind(&host, config.listen, config.console.is_some())?, None),
     };
@@ -138,6 +140,10 @@
         supervisor
             .spawn_restartable("console", move || console.clone().serve(core.clone(), upgrades.clone()));
     }
+    if predecessor.is_some() {
+        // Only one of the two processes accepts clients at a time.
+        listener.pause_accepting();
+    }
     // The listener accepts new clients until the process ends.
     supervisor.spawn_restartable("listener", {
         let (core, listener) = (core.clone(), listener.clone());
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -1,7 +1,7 @@
 //! Accepts clients, reads their requests, and bounds the number of requests.
 
 use crate::config::ErrorMessage;
-use crate::core::Core;
+use crate::core::{Core, ShutdownGuard};
 use crate::metrics::FinalAnswer;
 use crate::pending::{PendingConnections, PendingSlot};
 use crate::protocol::{ClientMessage, ClientRequest, Protocol};
@@ -158,11 +158,7 @@
                     host.spawn(async move {
                         let received = listener.receive_request(&core, &protocol, stream, slot).await;
                         if let Some((stream, request)) = received {
-                            let handler = request_handler::run(core, protocol, stream, request);
-                            // `run` registers the request before it first waits, so the process cannot end
-                            // in between.
-                            drop(guard);
-                            handler.await;
+                            serve_request(core, protocol, stream, request, guard).await;
                         }
                     });
                 }
@@ -202,6 +198,39 @@
     }
 }
 
+/// A request that a client has sent.
+struct ReceivedRequest {
+    /// The request line, without its line end.
+    line: String,
+    request: Box<dyn ClientRequest>,
+}
+
+/// Serves a request, or hands its client over to the successor process if that process serves all new requests.
+async fn serve_request(
+    core: Rc<Core>,
+    protocol: Rc<dyn Protocol>,
+    mut client: TcpStream,
+    received: ReceivedRequest,
+    guard: ShutdownGuard,
+) {
+    let ReceivedRequest { line, request } = received;
+    if core.successor_serves_requests() {
+        match core.hand_over_client(line, client).await {
+            Ok(()) => return,
+            Err(returned) => client = returned,
+        }
+    }
+    if core.successor_serves_requests() {
+        // The successor could not take the client, and only the successor can tell whether the identity is free.
+        core.metrics.count_answer(request.request().class, FinalAnswer::Refused);
+        return send_and_close(&core, client, &protocol.refusal(Some(RETRY_AFTER_US))).await;
+    }
+    let handler = request_handler::run(core, protocol, client, request);
+    // `run` registers the request before it first waits, so the process cannot end in between.
+    drop(guard);
+    handler.await;
+}
+
 /// Refuses a client for lack of capacity, without waiting.
 fn refuse(stream: &TcpStream, protocol: &dyn Protocol) {
     stream.set_nodelay();
@@ -214,7 +243,7 @@
 
 /// The outcome of reading a client's request.
 enum ReadOutcome {
-    Request(Box<dyn ClientRequest>),
+    Request(ReceivedRequest),
     /// What the client sent is not a valid request.
     Invalid,
     /// The client has not sent a whole request, and the proxy waits no longer.
@@ -232,7 +261,7 @@
         protocol: &Rc<dyn Protocol>,
         stream: TcpStream,
         slot: PendingSlot,
-    ) -> Option<(TcpStream, Box<dyn ClientRequest>)> {
+    ) -> Option<(TcpStream, ReceivedRequest)> {
         stream.set_nodelay();
         let received = tokio::select! {
             biased;
@@ -246,13 +275,10 @@
             }
         };
         let answer = match received {
-            ReadOutcome::Request(request) if core.active_requests() < self.request_limit() => {
-                return Some((stream, request));
-            }
-            ReadOutcome::Request(request) => {
-                core.metrics.count_answer(request.request().class, FinalAnswer::Refused);
-                protocol.refusal(Some(RETRY_AFTER_US))
-            }
+            ReadOutcome::Request(received) => match self.check_capacity(core, &**protocol, &received) {
+                Ok(()) => return Some((stream, received)),
+                Err(refusal) => refusal,
+            },
             // Nothing was sent to a backend, so a retry is harmless.
             ReadOutcome::Incomplete => protocol.refusal(Some(RETRY_AFTER_US)),
             ReadOutcome::Invalid => protocol.failure(),
@@ -269,6 +295,46 @@
 }
 
 impl Listener {
+    /// Checks that there is capacity for another request. The error is the final answer to this one.
+    fn check_capacity(
+        &self,
+        core: &Core,
+        protocol: &dyn Protocol,
+        received: &ReceivedRequest,
+    ) -> Result<(), Vec<u8>> {
+        if core.active_requests() < self.request_limit() {
+            return Ok(());
+        }
+        core.metrics.count_answer(received.request.request().class, FinalAnswer::Refused);
+        Err(protocol.refusal(Some(RETRY_AFTER_US)))
+    }
+
+    /// Serves a client that the predecessor has accepted, from its request line on.
+    pub fn serve_client_of_predecessor(
+        self: &Rc<Self>,
+        core: &Rc<Core>,
+        protocol: &Rc<dyn Protocol>,
+        client: TcpStream,
+        line: String,
+    ) {
+        let (listener, core, protocol, guard) =
+            (self.clone(), core.clone(), protocol.clone(), core.shutdown_guard());
+        core.host.clone().spawn(async move {
+            let answer = match protocol.parse_client_line(line.as_bytes()) {
+                ClientMessage::Request(request) => {
+                    let received = ReceivedRequest { line, request };
+                    match listener.check_capacity(&core, &*protocol, &received) {
+                        Ok(()) => return serve_request(core, protocol, client, received, guard).await,
+                        Err(refusal) => refusal,
+                    }
+                }
+                // The predecessor is of a version with other requests.
+                ClientMessage::Immediate(_) | ClientMessage::Malformed => protocol.failure(),
+            };
+            send_and_close(&core, client, &answer).await;
+        });
+    }
+
     /// Refuses a client whose slot is needed for another. The client's next bytes may be on the way, and
     /// closing before they are read would be a reset that discards the refusal. The client therefore gets a
     /// moment to read the refusal, unless too many evictions are in progress.
@@ -305,9 +371,11 @@
         if !received[..line_end].ends_with(b"\r\n") {
             return ReadOutcome::Invalid;
         }
-        match protocol.parse_client_line(first_line(&received)) {
+        let line = first_line(&received);
+        match protocol.parse_client_line(line) {
             ClientMessage::Request(request) if received.len() == line_end => {
-                return ReadOutcome::Request(request);
+                let line = String::from_utf8_lossy(line).into_owned();
+                return ReadOutcome::Request(ReceivedRequest { line, request });
             }
             ClientMessage::Immediate(answer) => {
                 received.drain(..line_end);
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -179,7 +179,7 @@
     established: EstablishedConnection,
 ) -> bool {
     let HandoverRecord { identity, backend, class, key, group, load } = record;
-    let Some(mut request_handle) = RequestHandle::register(core, &identity, class) else { return false };
+    let Some(mut request_handle) = RequestHandle::adopt(core, &identity, class) else { return false };
     let (backend, request) = (
         BackendId::from(backend),
         Request { id: request_handle.id, class, key, group, load_hint: load, ..Request::default() },
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -2,7 +2,8 @@
 //! next one. The module also persists which backends are in maintenance, since that outlives the process. It
 //! makes no placement decisions.
 
-use crate::core::{Core, PendingHandover};
+use crate::core::Core;
+use crate::handover::{HandoverMessage, PendingHandover, State, receive_message, send, send_message};
 use crate::listener::Listener;
 use crate::protocol::Protocol;
 use crate::relay::{EstablishedConnection, RelayState};
@@ -10,19 +11,18 @@
 use crate::source::discovery::Endpoints;
 use pierloom_decision::{BackendId, ClockOffset, Event, LearnedState, Micros};
 use pierloom_host::{HandoverChannel, PassedSocket, TcpListener};
-use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
 
 /// Time limit for the predecessor to send its state. After that this process starts without it, beside the
 /// predecessor.
 const TAKEOVER_TIMEOUT_US: Micros = 2_000_000;
-/// Time limit for the predecessor to stop accepting. After that this process reports itself as serving
-/// regardless.
+/// Time limit for the predecessor to stop accepting and to tell its identities. After that this process accepts
+/// clients regardless.
 const ACCEPT_STOP_TIMEOUT_US: Micros = 1_000_000;
 /// Time limit for the successor to start serving. After that another process may ask for a handover.
 const SUCCESSOR_START_TIMEOUT_US: Micros = 6_000_000;
@@ -33,64 +33,6 @@
 /// Delay before this process listens for a successor again after a failure.
 const LISTEN_RETRY_DELAY_US: Micros = 1_000_000;
 
-/// Reports the outcome of a handover: `Ok` once the successor has adopted the connection, else the connection
-/// itself.
-type HandoverDone = oneshot::Sender<Result<(), EstablishedConnection>>;
-
-/// A message between two processes of one proxy: the predecessor, which hands over, and the successor, which
-/// takes over.
-///
-/// The peer may run another version of this program, so the JSON tags and keys never change.
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum HandoverMessage {
-    /// Predecessor to successor, first of all: the state that the successor starts from. The listening socket
-    /// goes with the message.
-    State(State),
-    /// Successor to predecessor: the successor has started. The predecessor stops accepting clients, answers
-    /// with `AcceptStopped` and hands over its connections from then on.
-    #[serde(rename = "taken")]
-    TakeoverStarted,
-    /// Predecessor to successor: the predecessor has stopped accepting clients. The successor then reports
-    /// itself as serving and listens for its own successor.
-    #[serde(rename = "released")]
-    AcceptStopped,
-    /// Either to the other: operators put the named backend into maintenance, or (false) returned it from
-    /// maintenance. The receiver applies the same change.
-    #[serde(rename = "withheld")]
-    Maintenance(String, bool),
-    /// Predecessor to successor: the number of requests that the predecessor still holds. The successor
-    /// counts them against its own limit.
-    #[serde(rename = "jobs")]
-    ActiveRequests(usize),
-    /// Predecessor to successor: an established connection. Its two sockets go with the message, the client's
-    /// first, then the backend's. The successor adopts the connection and answers with `ConnectionAccepted`.
-    Connection(HandoverRecord, RelayState),
-    /// Successor to predecessor: whether the successor has adopted the last `Connection`. On true the
-    /// predecessor closes its copies of the sockets; on false it goes on relaying.
-    #[serde(rename = "holds")]
-    ConnectionAccepted(bool),
-}
-
-/// The state that a predecessor hands over to its successor.
-#[derive(Serialize, Deserialize)]
-struct State {
-    /// The current time of the predecessor's clock, to which all times in this state refer. Each process has
-    /// a clock of its own, since the clock of the machine may have been set between their starts. `None` if
-    /// the predecessor is of a version that does not send it.
-    #[serde(default)]
-    clock: Option<Micros>,
-    #[serde(rename = "withheld")]
-    backends_in_maintenance: Vec<String>,
-    /// The endpoints as last reported by discovery.
-    #[serde(rename = "list")]
-    endpoints: Endpoints,
-    #[serde(rename = "learned")]
-    learned_state: LearnedState,
-    #[serde(rename = "jobs")]
-    active_requests: usize,
-}
-
 /// What this process took over from its predecessor.
 pub struct Takeover {
     /// The listening socket, shared with the predecessor.
@@ -99,10 +41,19 @@
     pub endpoints: Endpoints,
     /// What the predecessor's decision module learned, by this process's clock.
     pub learned_state: LearnedState,
-    /// The number of requests that the predecessor still holds.
-    pub active_requests: usize,
-    /// The connection to the predecessor.
-    pub channel: HandoverChannel,
+    /// The predecessor, from which connections follow.
+    pub predecessor: Predecessor,
+}
+
+/// The successor's view of a predecessor that hands over.
+pub struct Predecessor {
+    channel: HandoverChannel,
+    /// The number of requests that it held when it sent its state.
+    active_requests: usize,
+    /// Whether it tells its identities and passes on clients.
+    tells_identities: bool,
+    /// The messages that this process has for it.
+    outgoing: UnboundedReceiver<HandoverMessage>,
 }
 
 /// Paths in the folder that both processes share.
@@ -181,7 +132,7 @@
         let asked_at = self.core.now();
         let request_state = async {
             let channel = self.core.host.connect_handover(&paths.socket).await?;
-            let HandoverMessage::State(state) = parse_message(channel.receive().await?)? else {
+            let HandoverMessage::State(state) = receive_message(&channel).await? else {
                 return Err(io::ErrorKind::InvalidData.into());
             };
             let listener = channel.receive_listener()?;
@@ -195,23 +146,7 @@
             }
         };
         match answer {
-            Ok((
-                channel,
-                listener,
-                State { clock, backends_in_maintenance, endpoints, learned_state, active_requests },
-            )) => {
-                // The predecessor reads its clock after this process asks, so the offset never makes a
-                // learned time look more recent than it is.
-                let offset = clock.map_or(0, |clock| asked_at as ClockOffset - clock as ClockOffset);
-                self.clock_offset.set(offset);
-                let learned_state = learned_state.with_clock_offset(offset);
-                tracing::info!(
-                    target: "upgrade",
-                    "taking over from the running process, which holds {active_requests} requests"
-                );
-                backends_in_maintenance.iter().for_each(|backend| self.report_maintenance(backend, true));
-                Some(Takeover { listener, endpoints, learned_state, active_requests, channel })
-            }
+            Ok((channel, listener, state)) => Some(self.apply_state(asked_at, channel, listener, state)),
             Err(e) => {
                 let no_predecessor =
                     [io::ErrorKind::NotFound, io::ErrorKind::ConnectionRefused].contains(&e.kind());
@@ -224,6 +159,36 @@
         }
     }
 
+    /// Starts from the state of the predecessor, which was asked for it at `asked_at`.
+    fn apply_state(
+        &self,
+        asked_at: Micros,
+        channel: HandoverChannel,
+        listener: TcpListener,
+        state: State,
+    ) -> Takeover {
+        // From here on, operators' calls at this process reach the predecessor too.
+        let outgoing = self.register_peer();
+        // The predecessor reads its clock after this process asks, so the offset never makes a learned time
+        // look more recent than it is.
+        let offset = state.clock.map_or(0, |clock| asked_at as ClockOffset - clock as ClockOffset);
+        self.clock_offset.set(offset);
+        let active_requests = state.active_requests;
+        tracing::info!(
+            target: "upgrade",
+            "taking over from the running process, which holds {active_requests} requests"
+        );
+        state.backends_in_maintenance.iter().for_each(|backend| self.report_maintenance(backend, true));
+        let tells_identities = state.identities.is_some();
+        self.core.identities.borrow_mut().set_predecessor(state.identities.unwrap_or_default());
+        Takeover {
+            listener,
+            endpoints: state.endpoints,
+            learned_state: state.learned_state.with_clock_offset(offset),
+            predecessor: Predecessor { channel, active_requests, tells_identities, outgoing },
+        }
+    }
+
     /// Restores the backends in maintenance from the file that a process of this proxy wrote last. A process
     /// that was killed, or a handover that was interrupted, does not lose them.
     fn restore_maintenance(&self, paths: &HandoverPaths) {
@@ -302,27 +267,30 @@
         messages
     }
 
-    /// Waits until the predecessor, if any, has stopped accepting, then reports this process as serving and
-    /// listens for a successor.
+    /// Waits until the predecessor, if any, has stopped accepting, then accepts clients, reports this process as
+    /// serving and listens for a successor.
     pub async fn serve(
         self: Rc<Self>,
         listener: Rc<Listener>,
         endpoints: Rc<RefCell<Endpoints>>,
-        predecessor: Option<(HandoverChannel, usize)>,
+        predecessor: Option<Predecessor>,
     ) {
-        if let Some((channel, active_requests)) = predecessor {
-            listener.set_predecessor_requests(active_requests);
+        if let Some(predecessor) = predecessor {
+            listener.set_predecessor_requests(predecessor.active_requests);
             let (upgrades, task_listener) = (self.clone(), listener.clone());
             let accept_stopped = Rc::new(tokio::sync::Notify::new());
             let task_accept_stopped = accept_stopped.clone();
             self.core.host.spawn(async move {
-                let error = upgrades.follow_predecessor(&channel, &task_listener, &task_accept_stopped).await;
+                let error =
+                    upgrades.follow_predecessor(predecessor, &task_listener, &task_accept_stopped).await;
                 tracing::info!(
                     target: "upgrade",
                     "the handover from the predecessor is over ({})",
                     error.kind()
                 );
+                // The requests of a predecessor that has ended have ended too.
                 task_listener.set_predecessor_requests(0);
+                upgrades.core.identities.borrow_mut().set_predecessor(Vec::new());
                 // A predecessor that has ended accepts no more clients. If it still runs, this process waits
                 // no longer for it.
                 task_accept_stopped.notify_one();
@@ -332,6 +300,7 @@
                 () = accept_stopped.notified() => {}
                 () = self.core.deadlines.until(self.core.now() + ACCEPT_STOP_TIMEOUT_US) => {}
             }
+            listener.resume_accepting();
         }
         self.serving.set(true);
         let Some(paths) = &self.paths else { return };
@@ -358,25 +327,56 @@
     /// predecessor sends an invalid message. Returns the final error.
     async fn follow_predecessor(
         &self,
-        channel: &HandoverChannel,
-        listener: &Listener,
+        predecessor: Predecessor,
+        listener: &Rc<Listener>,
         accept_stopped: &tokio::sync::Notify,
     ) -> io::Error {
-        let mut outgoing = self.register_peer();
-        if let Err(e) = send_message(channel, &HandoverMessage::TakeoverStarted).await {
+        let Predecessor { channel, tells_identities, mut outgoing, .. } = predecessor;
+        let channel = &channel;
+        let start = async {
+            send_message(channel, &HandoverMessage::TakeoverStarted).await?;
+            if tells_identities {
+                send_message(channel, &HandoverMessage::IdentitiesRequested).await?;
+            }
+            Ok(())
+        };
+        if let Err(e) = start.await {
             return e;
         }
         loop {
             let received = tokio::select! {
                 biased;
-                received = channel.receive() => received.and_then(parse_message),
+                received = receive_message(channel) => received,
                 Some(message) = outgoing.recv() => match send_message(channel, &message).await {
                     Ok(()) => continue,
                     Err(e) => return e,
                 },
             };
             match received {
+                Ok(HandoverMessage::AcceptStopped) if tells_identities => {}
                 Ok(HandoverMessage::AcceptStopped) => accept_stopped.notify_one(),
+                Ok(HandoverMessage::Identities(identities)) => {
+                    self.core.identities.borrow_mut().set_predecessor(identities);
+                    accept_stopped.notify_one();
+                }
+                Ok(HandoverMessage::IdentityReleased(identity)) => {
+                    self.core.identities.borrow_mut().release_predecessor(&identity)
+                }
+                Ok(HandoverMessage::Client(request_line)) => {
+                    let client = channel.receive_stream();
+                    let accepted = HandoverMessage::Accepted(client.is_ok());
+                    if let Ok(client) = client {
+                        listener.serve_client_of_predecessor(
+                            &self.core,
+                            &self.protocol,
+                            client,
+                            request_line,
+                        );
+                    }
+                    if let Err(e) = send_message(channel, &accepted).await {
+                        return e;
+                    }
+                }
                 Ok(HandoverMessage::Maintenance(backend, in_maintenance)) => {
                     self.report_maintenance(&backend, in_maintenance)
                 }
@@ -388,15 +388,15 @@
                     // An adopted connection counts among this process's requests, no longer among the
                     // predecessor's.
                     listener.release_predecessor_request(adopted);
-                    if let Err(e) = send_message(channel, &HandoverMessage::ConnectionAccepted(adopted)).await
-                    {
+                    if let Err(e) = send_message(channel, &HandoverMessage::Accepted(adopted)).await {
                         return e;
                     }
                 }
                 Ok(
                     HandoverMessage::State(_)
                     | HandoverMessage::TakeoverStarted
-                    | HandoverMessage::ConnectionAccepted(_),
+                    | HandoverMessage::IdentitiesRequested
+                    | HandoverMessage::Accepted(_),
                 ) => {}
                 Err(e) => return e,
             }
@@ -430,22 +430,20 @@
             endpoints: endpoints.borrow().clone(),
             learned_state: self.core.learned_state(),
             active_requests: self.core.active_requests(),
+            identities: Some(self.core.identities.borrow().active()),
         };
         let (sender, mut pending_handovers) = unbounded_channel::<PendingHandover>();
-        let mut in_progress: Option<(EstablishedConnection, HandoverDone)> = None;
+        let mut in_progress: Option<PendingHandover> = None;
+        let mut free_identities = None;
         let handover = async {
-            send_message_with(
-                channel,
-                &HandoverMessage::State(state),
-                &[PassedSocket::Listener(listener.socket())],
-            )
-            .await?;
+            let sockets = [PassedSocket::Listener(listener.socket())];
+            send(channel, &HandoverMessage::State(state), &sockets).await?;
             let (mut taken_over, mut last_sent) = (false, None);
             let start_deadline = self.core.now() + SUCCESSOR_START_TIMEOUT_US;
             loop {
                 tokio::select! {
                     biased;
-                    received = channel.receive() => match parse_message(received?)? {
+                    received = receive_message(channel) => match received? {
                         HandoverMessage::TakeoverStarted => {
                             tracing::info!(target: "upgrade", "the successor is taking over");
                             listener.pause_accepting();
@@ -456,37 +454,31 @@
                         HandoverMessage::Maintenance(backend, in_maintenance) => {
                             self.report_maintenance(&backend, in_maintenance)
                         }
-                        HandoverMessage::ConnectionAccepted(adopted) => {
-                            if let Some((connection, done)) = in_progress.take() {
-                                // This process's copies of the sockets are closed only now.
-                                let _ = done.send(if adopted { Ok(()) } else { Err(connection) });
+                        HandoverMessage::IdentitiesRequested if taken_over => {
+                            let (active, free) = self.core.identities.borrow_mut().share();
+                            free_identities = Some(free);
+                            send_message(channel, &HandoverMessage::Identities(active)).await?;
+                        }
+                        HandoverMessage::Accepted(accepted) => {
+                            if let Some(handed_over) = in_progress.take() {
+                                handed_over.finish(accepted);
                             }
                         }
                         HandoverMessage::State(_)
                         | HandoverMessage::AcceptStopped
+                        | HandoverMessage::IdentitiesRequested
+                        | HandoverMessage::Identities(_)
+                        | HandoverMessage::IdentityReleased(_)
+                        | HandoverMessage::Client(_)
                         | HandoverMessage::ActiveRequests(_)
                         | HandoverMessage::Connection(..) => {}
                     },
                     Some(message) = outgoing.recv() => send_message(channel, &message).await?,
-                    Some(pending) = pending_handovers.recv(), if in_progress.is_none() => {
-                        let PendingHandover {
-                            record,
-                            connection: EstablishedConnection { client, backend, state: relay_state },
-                            done,
-                        } = pending;
-                        let message = HandoverMessage::Connection(record, relay_state);
-                        let sent = send_message_with(
-                            channel,
-                            &message,
-                            &[PassedSocket::Stream(&client), PassedSocket::Stream(&backend)],
-                        )
-                        .await;
-                        let HandoverMessage::Connection(_, relay_state) = message else { continue };
-                        in_progress = Some((
-                            EstablishedConnection { client, backend, state: relay_state },
-                            done,
-                        ));
-                        sent?;
+                    Some(identity) = next_free_identity(&mut free_identities) => {
+                        send_message(channel, &HandoverMessage::IdentityReleased(identity)).await?
+                    }
+                    Some(handed_over) = pending_handovers.recv(), if in_progress.is_none() => {
+                        in_progress.insert(handed_over).send(channel).await?
                     }
                     () = self.core.deadlines.until(self.core.now() + REQUEST_COUNT_INTERVAL_US) => {
                         if !taken_over && self.core.now() > start_deadline {
@@ -508,29 +500,19 @@
             );
         }
         self.core.set_successor(None);
-        // This process goes on relaying the connections that the successor did not adopt.
+        self.core.identities.borrow_mut().unshare();
+        // This process goes on with the connections and clients that the successor did not accept.
         pending_handovers.close();
-        let queued = std::iter::from_fn(|| pending_handovers.try_recv().ok())
-            .map(|pending| (pending.connection, pending.done));
-        for (connection, done) in in_progress.into_iter().chain(queued) {
-            let _ = done.send(Err(connection));
-        }
+        let queued = std::iter::from_fn(|| pending_handovers.try_recv().ok());
+        in_progress.into_iter().chain(queued).for_each(|handed_over| handed_over.finish(false));
         listener.resume_accepting();
     }
 }
 
-fn parse_message(mut message: Vec<u8>) -> io::Result<HandoverMessage> {
-    simd_json::serde::from_slice(&mut message).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
-}
-
-async fn send_message(channel: &HandoverChannel, message: &HandoverMessage) -> io::Result<()> {
-    send_message_with(channel, message, &[]).await
-}
-
-async fn send_message_with(
-    channel: &HandoverChannel,
-    message: &HandoverMessage,
-    sockets: &[PassedSocket<'_>],
-) -> io::Result<()> {
-    channel.send(&serde_json::to_vec(message)?, sockets).await
+/// Waits for the next identity that becomes free. Never returns before the identities are shared.
+async fn next_free_identity(free_identities: &mut Option<UnboundedReceiver<String>>) -> Option<String> {
+    match free_identities {
+        Some(free_identities) => free_identities.recv().await,
+        None => pending().await,
+    }
 }
