What a predecessor sent before its end is received though nothing can be sent to it

What callers saw: a connection that was being handed over was cut off without MOVE if the old process died in that moment: its sockets had arrived at the new one, which read nothing more once a message of its own could not be sent.

Fix: a message that cannot be sent ends the sending, not the handover. The process reads on until the end, which comes after all that was sent.

--- a/crates/host/src/handover.rs
+++ b/crates/host/src/handover.rs
@@ -5,7 +5,7 @@
 use crate::{TcpListener, TcpStream};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
-    SendFlags, recvmsg, sendmsg,
+    SendFlags, Shutdown, recvmsg, sendmsg, shutdown,
 };
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -108,6 +108,12 @@
         Ok(())
     }
 
+    /// Ends the sending: the other process receives the end after what was sent before. Receiving goes on.
+    pub fn end_sending(&self) {
+        // An error means that the connection has ended.
+        let _ = shutdown(&self.stream, Shutdown::Write);
+    }
+
     /// Receives the next message, or an error once the other process has ended. This method is cancel safe.
     pub async fn receive(&self) -> io::Result<Vec<u8>> {
         let mut searched = 0;
--- a/crates/pierloom/tests/upgrade.rs
+++ b/crates/pierloom/tests/upgrade.rs
@@ -332,25 +332,32 @@
     let connection_message = std::iter::repeat_with(|| successor.message())
         .find(|message| message.contains("connection"))
         .unwrap();
-    let folder = Folder::new("killed");
-    let handover = UnixListener::bind(folder.file("pierloom-p0.sock")).unwrap();
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let ((client_end, mut client), (backend_end, mut at_backend)) = (connection_pair(), connection_pair());
-    let predecessor = thread::spawn(move || {
-        let mut successor = HandoverPeer::accept(&handover);
-        send_with_sockets(successor.stream(), &state, &[listener.as_fd()]);
-        assert_eq!(successor.message(), "\"taken\"\n");
-        successor.send("\"released\"\n");
-        let sockets = [client_end.as_fd(), backend_end.as_fd()];
-        send_with_sockets(successor.stream(), &connection_message, &sockets);
-    });
-    let (_new, console) = Proxy::start_in_folder(&folder, None, &[backend.entry("ready")]);
-    wait_until_healthy(console);
-    predecessor.join().unwrap();
-    client.send("m\r\n");
-    assert_eq!(at_backend.line(), "m\r\n");
-    at_backend.send("m back\r\n");
-    assert_eq!(client.line(), "m back\r\n");
+    // The successor starts to send before or after the predecessor's end.
+    for (folder, awaits_takeover) in [("killed", true), ("killed-early", false)] {
+        let folder = Folder::new(folder);
+        let handover = UnixListener::bind(folder.file("pierloom-p0.sock")).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let ((client_end, mut client), (backend_end, mut at_backend)) =
+            (connection_pair(), connection_pair());
+        let (state, connection_message) = (state.clone(), connection_message.clone());
+        let predecessor = thread::spawn(move || {
+            let mut successor = HandoverPeer::accept(&handover);
+            send_with_sockets(successor.stream(), &state, &[listener.as_fd()]);
+            if awaits_takeover {
+                assert_eq!(successor.message(), "\"taken\"\n");
+            }
+            successor.send("\"released\"\n");
+            let sockets = [client_end.as_fd(), backend_end.as_fd()];
+            send_with_sockets(successor.stream(), &connection_message, &sockets);
+        });
+        let (_new, console) = Proxy::start_in_folder(&folder, None, &[backend.entry("ready")]);
+        wait_until_healthy(console);
+        predecessor.join().unwrap();
+        client.send("m\r\n");
+        assert_eq!(at_backend.line(), "m\r\n");
+        at_backend.send("m back\r\n");
+        assert_eq!(client.line(), "m back\r\n");
+    }
 }
 
 // Guards against maintenance that the console confirms and that is not stored on disk: writes to the folder
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -16,6 +16,7 @@
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 /// Time limit for the predecessor to send its state. After that this process starts without it, beside the
@@ -226,6 +227,11 @@
         self.peers.borrow_mut().retain(|peer| {
             peer.send(HandoverMessage::Maintenance(backend.to_string(), in_maintenance)).is_ok()
         });
+        self.persist_or_retry()
+    }
+
+    /// Writes the backends in maintenance to the file, now or after some retries.
+    fn persist_or_retry(self: &Rc<Self>) -> MaintenanceResult {
         if self.persist_maintenance() {
             return MaintenanceResult::Persisted;
         }
@@ -278,7 +284,7 @@
         if let Some(predecessor) = predecessor {
             listener.set_predecessor_requests(predecessor.active_requests);
             let (upgrades, task_listener) = (self.clone(), listener.clone());
-            let accept_stopped = Rc::new(tokio::sync::Notify::new());
+            let accept_stopped = Rc::new(Notify::new());
             let task_accept_stopped = accept_stopped.clone();
             self.core.host.spawn(async move {
                 let error =
@@ -326,83 +332,83 @@
     /// Runs the successor's side of a handover until the connection to the predecessor fails, or the
     /// predecessor sends an invalid message. Returns the final error.
     async fn follow_predecessor(
-        &self,
+        self: &Rc<Self>,
         predecessor: Predecessor,
         listener: &Rc<Listener>,
-        accept_stopped: &tokio::sync::Notify,
+        accept_stopped: &Notify,
     ) -> io::Error {
         let Predecessor { channel, tells_identities, mut outgoing, .. } = predecessor;
-        let channel = &channel;
-        let start = async {
-            send_message(channel, &HandoverMessage::TakeoverStarted).await?;
-            if tells_identities {
-                send_message(channel, &HandoverMessage::IdentitiesRequested).await?;
-            }
-            Ok(())
-        };
-        if let Err(e) = start.await {
-            return e;
+        send_to_predecessor(&channel, &HandoverMessage::TakeoverStarted).await;
+        if tells_identities {
+            send_to_predecessor(&channel, &HandoverMessage::IdentitiesRequested).await;
         }
         loop {
-            let received = tokio::select! {
+            let message = tokio::select! {
                 biased;
-                received = receive_message(channel) => received,
-                Some(message) = outgoing.recv() => match send_message(channel, &message).await {
-                    Ok(()) => continue,
+                received = receive_message(&channel) => match received {
+                    Ok(message) => message,
                     Err(e) => return e,
                 },
+                Some(message) = outgoing.recv() => {
+                    send_to_predecessor(&channel, &message).await;
+                    continue;
+                }
             };
-            match received {
-                Ok(HandoverMessage::AcceptStopped) if tells_identities => {}
-                Ok(HandoverMessage::AcceptStopped) => accept_stopped.notify_one(),
-                Ok(HandoverMessage::Identities(identities)) => {
+            match message {
+                HandoverMessage::AcceptStopped if !tells_identities => accept_stopped.notify_one(),
+                HandoverMessage::Identities(identities) => {
                     self.core.identities.borrow_mut().set_predecessor(identities);
                     accept_stopped.notify_one();
                 }
-                Ok(HandoverMessage::IdentityReleased(identity)) => {
-                    self.core.identities.borrow_mut().release_predecessor(&identity)
-                }
-                Ok(HandoverMessage::Client(request_line)) => {
-                    let client = channel.receive_stream();
-                    let accepted = HandoverMessage::Accepted(client.is_ok());
-                    if let Ok(client) = client {
-                        listener.serve_client_of_predecessor(
-                            &self.core,
-                            &self.protocol,
-                            client,
-                            request_line,
-                        );
+                message => {
+                    if let Some(accepted) = self.handle_predecessor_message(&channel, listener, message) {
+                        send_to_predecessor(&channel, &HandoverMessage::Accepted(accepted)).await;
                     }
-                    if let Err(e) = send_message(channel, &accepted).await {
-                        return e;
-                    }
-                }
-                Ok(HandoverMessage::Maintenance(backend, in_maintenance)) => {
-                    self.report_maintenance(&backend, in_maintenance)
-                }
-                Ok(HandoverMessage::ActiveRequests(active_requests)) => {
-                    listener.set_predecessor_requests(active_requests)
                 }
-                Ok(HandoverMessage::Connection(record, relay_state)) => {
-                    let adopted = self.adopt(channel, record, relay_state);
-                    // An adopted connection counts among this process's requests, no longer among the
-                    // predecessor's.
-                    listener.release_predecessor_request(adopted);
-                    if let Err(e) = send_message(channel, &HandoverMessage::Accepted(adopted)).await {
-                        return e;
-                    }
-                }
-                Ok(
-                    HandoverMessage::State(_)
-                    | HandoverMessage::TakeoverStarted
-                    | HandoverMessage::IdentitiesRequested
-                    | HandoverMessage::Accepted(_),
-                ) => {}
-                Err(e) => return e,
             }
         }
     }
 
+    /// Handles a message of the predecessor. Returns whether this process holds what was passed with it, if
+    /// something was.
+    fn handle_predecessor_message(
+        self: &Rc<Self>,
+        channel: &HandoverChannel,
+        listener: &Rc<Listener>,
+        message: HandoverMessage,
+    ) -> Option<bool> {
+        match message {
+            HandoverMessage::IdentityReleased(identity) => {
+                self.core.identities.borrow_mut().release_predecessor(&identity)
+            }
+            HandoverMessage::Maintenance(backend, in_maintenance) => {
+                self.report_maintenance(&backend, in_maintenance)
+            }
+            HandoverMessage::ActiveRequests(active_requests) => {
+                listener.set_predecessor_requests(active_requests)
+            }
+            HandoverMessage::Connection(record, relay_state) => {
+                let adopted = self.adopt(channel, record, relay_state);
+                // An adopted connection counts among this process's requests, no longer among the
+                // predecessor's.
+                listener.release_predecessor_request(adopted);
+                return Some(adopted);
+            }
+            HandoverMessage::Client(request_line) => {
+                let Ok(client) = channel.receive_stream() else { return Some(false) };
+                listener.serve_client_of_predecessor(&self.core, &self.protocol, client, request_line);
+                return Some(true);
+            }
+            HandoverMessage::State(_)
+            | HandoverMessage::TakeoverStarted
+            | HandoverMessage::AcceptStopped
+            | HandoverMessage::IdentitiesRequested
+            | HandoverMessage::Identities(_)
+            | HandoverMessage::Accepted(_) => {}
+        }
+        None
+    }
+
     /// Adopts a connection of the predecessor. Returns false if that is not possible.
     fn adopt(&self, peer: &HandoverChannel, record: HandoverRecord, relay_state: RelayState) -> bool {
         let (Ok(client), Ok(backend)) = (peer.receive_stream(), peer.receive_stream()) else { return false };
@@ -418,7 +424,7 @@
     /// Runs the predecessor's side of a handover until the connection to the successor fails, the successor
     /// sends an invalid message, or it has not started in time.
     async fn serve_successor(
-        &self,
+        self: &Rc<Self>,
         channel: &HandoverChannel,
         listener: &Listener,
         endpoints: &RefCell<Endpoints>,
@@ -509,6 +515,14 @@
     }
 }
 
+/// Sends a message to the predecessor. One that cannot be sent to has ended, or the connection to it is broken,
+/// which ends it for both. What the predecessor sent before is still received.
+async fn send_to_predecessor(channel: &HandoverChannel, message: &HandoverMessage) {
+    if send_message(channel, message).await.is_err() {
+        channel.end_sending();
+    }
+}
+
 /// Waits for the next identity that becomes free. Never returns before the identities are shared.
 async fn next_free_identity(free_identities: &mut Option<UnboundedReceiver<String>>) -> Option<String> {
     match free_identities {
