Marks of operators outlast the process of an upgrade that took them

What operators could see: a backend that they had taken out, with a yes, came back: at the other process of an upgrade if the first one was killed before it reported the change, and at the next start if both were called at once and then killed. Found by reading, among what two processes share at a handover.

Cause: each process writes all its marks to one file. A change that the other one reports was applied and not written, so that the last write could lack it; and nobody read the file when the other process had ended.

Fix: a reported change is written too, and once the other process has ended its marks are taken over from the file, unless a write of this process is still due.

--- a/crates/pierloom/tests/upgrade.rs
+++ b/crates/pierloom/tests/upgrade.rs
@@ -12,13 +12,13 @@
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
 use std::io::IoSlice;
 use std::mem::MaybeUninit;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::thread;
 
 /// Puts a backend into maintenance (`maint`) or returns it to service (`ready`). Returns the HTTP status.
-fn post_maintenance(console: std::net::SocketAddr, backend: &str, action: &str) -> u16 {
+fn post_maintenance(console: SocketAddr, backend: &str, action: &str) -> u16 {
     call_console(console, "POST", &format!("/label-servers/{backend}/{action}")).0
 }
 
@@ -387,3 +387,44 @@
     assert!(backend.has_no_new_connection(), "a backend in maintenance gets no new request");
     assert_eq!(post_maintenance(console, "n1", "ready"), 200);
 }
+
+/// Starts a process with two backends, and takes over from it as its successor.
+fn take_over_from_process(folder: &Folder, backends: &[Backend; 2]) -> (Proxy, SocketAddr, HandoverPeer) {
+    let entries = backends.each_ref().map(|backend| backend.entry("ready"));
+    let (old, console) = Proxy::start_in_folder(folder, None, &entries);
+    wait_until_healthy(console);
+    let mut successor = HandoverPeer::connect(&folder.file("pierloom-p0.sock")).unwrap();
+    successor.message();
+    successor.send("\"taken\"\n");
+    while !successor.message().contains("released") {}
+    (old, console, successor)
+}
+
+// Guards against a lost mark of operators: each of the two processes of an upgrade puts a backend into
+// maintenance, and the one that writes the file last does not know of the other's yet. Then both are killed.
+#[test]
+fn maintenance_that_a_peer_reports_is_written_to_the_file_too() {
+    let (folder, backends) = (Folder::new("peer-writes"), [Backend::new("n1"), Backend::new("n2")]);
+    let (old, console, mut successor) = take_over_from_process(&folder, &backends);
+    // The successor has written its own change, and the predecessor writes the file before it learns of that.
+    std::fs::write(folder.file("pierloom-p0.withheld"), r#"["n2"]"#).unwrap();
+    assert_eq!(post_maintenance(console, "n1", "maint"), 200);
+    successor.send("{\"withheld\":[\"n2\",true]}\n");
+    let file = || std::fs::read_to_string(folder.file("pierloom-p0.withheld")).unwrap();
+    poll_until(|| (file() == r#"["n1","n2"]"#).then_some(())).expect("both backends in the file");
+    old.signal("-KILL");
+}
+
+// Guards against requests to a backend that operators put into maintenance by a call at the other process of an
+// upgrade, which was killed after its yes and before it reported the change.
+#[test]
+fn maintenance_outlasts_a_peer_that_dies_before_it_reports_it() {
+    let (folder, backends) = (Folder::new("peer-dies"), [Backend::new("n1"), Backend::new("n2")]);
+    let (old, console, successor) = take_over_from_process(&folder, &backends);
+    std::fs::write(folder.file("pierloom-p0.withheld"), r#"["n2"]"#).unwrap();
+    drop(successor);
+    let disabled = || metric_value(&call_console(console, "GET", "/stats").1, "lb_targets_disabled");
+    poll_until(|| (disabled() == 1).then_some(())).expect("a backend in maintenance");
+    establish_all(&old, &backends[0], "a", 20);
+    assert!(backends[1].has_no_new_connection());
+}
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -212,6 +212,21 @@
         }
     }
 
+    /// Applies a maintenance change that the peer process reports. This process writes the file too: the peer's
+    /// write may be older than the last one of this process, which did not know of the change.
+    fn apply_peer_maintenance(self: &Rc<Self>, backend: &str, in_maintenance: bool) {
+        self.report_maintenance(backend, in_maintenance);
+        self.persist_or_retry();
+    }
+
+    /// Restores the backends that a peer process put into maintenance and did not report before it ended. While
+    /// this process has yet to write the file, the file is out of date.
+    fn restore_maintenance_of_peer(&self) {
+        if let Some(paths) = self.paths.as_ref().filter(|_| !self.persist_retrying.get()) {
+            self.restore_maintenance(paths);
+        }
+    }
+
     /// Reports a maintenance change to the decision module.
     fn report_maintenance(&self, backend: &str, in_maintenance: bool) {
         self.core.dispatch_event(Event::Maintenance(BackendId::from(backend), in_maintenance));
@@ -294,6 +309,7 @@
                     "the handover from the predecessor is over ({})",
                     error.kind()
                 );
+                upgrades.restore_maintenance_of_peer();
                 // The requests of a predecessor that has ended have ended too.
                 task_listener.set_predecessor_requests(0);
                 upgrades.core.identities.borrow_mut().set_predecessor(Vec::new());
@@ -382,7 +398,7 @@
                 self.core.identities.borrow_mut().release_predecessor(&identity)
             }
             HandoverMessage::Maintenance(backend, in_maintenance) => {
-                self.report_maintenance(&backend, in_maintenance)
+                self.apply_peer_maintenance(&backend, in_maintenance)
             }
             HandoverMessage::ActiveRequests(active_requests) => {
                 listener.set_predecessor_requests(active_requests)
@@ -458,7 +474,7 @@
                             send_message(channel, &HandoverMessage::AcceptStopped).await?;
                         }
                         HandoverMessage::Maintenance(backend, in_maintenance) => {
-                            self.report_maintenance(&backend, in_maintenance)
+                            self.apply_peer_maintenance(&backend, in_maintenance)
                         }
                         HandoverMessage::IdentitiesRequested if taken_over => {
                             let (active, free) = self.core.identities.borrow_mut().share();
@@ -505,6 +521,7 @@
                 e.kind()
             );
         }
+        self.restore_maintenance_of_peer();
         self.core.set_successor(None);
         self.core.identities.borrow_mut().unshare();
         // This process goes on with the connections and clients that the successor did not accept.
