MOVE goes behind the last whole line that has arrived

What callers saw: at a planned stop clients were cut off without MOVE, though their backends sent a whole line every 30 ms, if the pieces of the stream ended within lines.

Cause: the relay looked for a place between two lines only at the end of what it had read and written. A line that ended within the bytes read was none, so the wait lasted until 2 s had passed or the process ended.

Fix: between a read and its write a requested move cuts the buffer behind the last whole line and puts MOVE there. The pipe keeps whether its destination has part of a line, also over a handover, so that MOVE waits for one line at most.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod listener;
 mod metrics;
 mod pending;
+mod pipe;
 mod probe;
 pub mod protocol;
 mod relay;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -3,98 +3,23 @@
 
 use crate::attempt::{AttemptEnd, AttemptStage, BackendConnection, EndReason};
 use crate::core::{Core, RequestCommand, RequestHandle};
+use crate::pipe::{LineSplitter, Pipe};
 use crate::protocol::{Protocol, Reply};
-use crate::stream::{HALF_CLOSE_TIMEOUT_US, MAX_LINE_BYTES, send_and_close};
+use crate::stream::{HALF_CLOSE_TIMEOUT_US, send_and_close};
 use pierloom_decision::{BackendId, ClockOffset, Event, Measurement, Micros, Status, with_clock_offset};
 use pierloom_host::{Interest, TcpStream};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
-use std::io;
 use std::rc::Rc;
 
 /// Interval between the reports of an unanswered message.
 const UNANSWERED_REPORT_INTERVAL_US: Micros = 1_000_000;
-/// Before a move, a backend that has sent a part of a line gets this long to finish that line.
+/// Before a move, a backend that has sent a part of a line and then nothing more for this long is taken for one
+/// that does not answer: the client is not moved but cut off.
 const LINE_COMPLETION_TIMEOUT_US: Micros = 2_000_000;
-/// Number of bytes kept of each line, enough to recognise the message.
-const LINE_PREFIX_BYTES: usize = 64;
 /// Largest number of unanswered messages whose times are kept. A client sends its messages two seconds apart.
 const MAX_UNANSWERED_MESSAGES: usize = 64;
 
-/// One direction of a relay: a bounded buffer between two sockets.
-#[derive(Default, Deserialize, Serialize)]
-struct Pipe {
-    /// Bytes read and not written yet.
-    buffer: Vec<u8>,
-    /// Whether the source has ended its sending.
-    ended: bool,
-    /// Whether the end was passed on to the destination.
-    passed_end: bool,
-}
-
-impl Pipe {
-    /// Reads once if the buffer is empty, and returns the number of bytes read.
-    fn read(&mut self, from: &TcpStream) -> io::Result<usize> {
-        if self.ended || !self.buffer.is_empty() {
-            return Ok(0);
-        }
-        let mut chunk = [0; MAX_LINE_BYTES];
-        match from.try_read(&mut chunk) {
-            Ok(0) => self.ended = true,
-            Ok(read) => self.buffer.extend_from_slice(&chunk[..read]),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
-        }
-        Ok(self.buffer.len())
-    }
-
-    /// Writes the buffered bytes as far as the socket takes them, then passes the end on.
-    fn write(&mut self, to: &TcpStream) -> io::Result<()> {
-        while !self.buffer.is_empty() {
-            match to.try_write(&self.buffer) {
-                Ok(written) => drop(self.buffer.drain(..written)),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(e) => return Err(e),
-            }
-        }
-        if self.ended && !self.passed_end {
-            self.passed_end = true;
-            // The destination may be gone already. Reading from it in the other direction detects that.
-            let _ = to.finish();
-        }
-        Ok(())
-    }
-}
-
-/// Splits the relayed bytes into lines, and keeps the beginning of each line.
-#[derive(Default, Deserialize, Serialize)]
-struct LineSplitter {
-    /// The beginning of the current line.
-    #[serde(rename = "head")]
-    prefix: Vec<u8>,
-    /// Whether a part of the current line has passed.
-    #[serde(rename = "within")]
-    in_line: bool,
-}
-
-impl LineSplitter {
-    /// Calls `line` with the beginning of each line that ends within these bytes.
-    fn feed(&mut self, bytes: &[u8], mut line: impl FnMut(&[u8])) {
-        for &byte in bytes {
-            if byte == b'\n' {
-                line(self.prefix.strip_suffix(b"\r").unwrap_or(&self.prefix));
-                self.prefix.clear();
-                self.in_line = false;
-            } else {
-                self.in_line = true;
-                if self.prefix.len() < LINE_PREFIX_BYTES {
-                    self.prefix.push(byte);
-                }
-            }
-        }
-    }
-}
-
 /// The state of a relay: all that another process needs to continue it.
 #[derive(Default, Deserialize, Serialize)]
 pub struct RelayState {
@@ -153,8 +78,10 @@
     stalled: bool,
     /// The backend's last reply that announces the end of the connection.
     final_reply: Option<Reply>,
-    /// When a move was first requested.
+    /// When a move was first requested, or the client last read again after that.
     move_requested_at: Option<Micros>,
+    /// When the backend last sent bytes; 0 before that.
+    backend_sent_at: Micros,
     /// The move message to the client is in the buffer, or sent.
     move_message_queued: bool,
     /// The connection is to be handed over to the successor process, unless it ends.
@@ -223,12 +150,29 @@
             self.next_unanswered_report
         };
         let half_close = self.ended_at.map_or(Micros::MAX, |at| at + HALF_CLOSE_TIMEOUT_US);
+        unanswered_report.min(half_close).min(self.line_completion_deadline())
+    }
+
+    /// When the wait for the end of a line ends, after which the client could be moved; `Micros::MAX` without such
+    /// a wait.
+    fn line_completion_deadline(&self) -> Micros {
         // A connection that is ending needs no move. The passed deadline of a move would make the relay check
         // again without a pause.
-        let requested_at = self.move_requested_at.filter(|_| self.ended_at.is_none());
-        let line_completion =
-            requested_at.filter(|_| !self.stalled).map_or(Micros::MAX, |at| at + LINE_COMPLETION_TIMEOUT_US);
-        unanswered_report.min(half_close).min(line_completion)
+        let requested_at =
+            self.move_requested_at.filter(|_| self.ended_at.is_none() && !self.move_message_queued);
+        requested_at
+            .filter(|_| !self.stalled)
+            .map_or(Micros::MAX, |at| at.max(self.backend_sent_at) + LINE_COMPLETION_TIMEOUT_US)
+    }
+
+    /// Puts the move message behind the last whole line, if a move was requested. The lines' beginnings must have
+    /// been recorded. A client that has received a part of a line gets the rest of it first.
+    fn queue_move_message(&mut self) {
+        let is_ending = self.state.to_client.ended || self.state.to_backend.ended;
+        if self.move_requested_at.is_none() || self.move_message_queued || is_ending {
+            return;
+        }
+        self.move_message_queued = self.state.to_client.append_last_line(self.protocol.move_message());
     }
 
     /// Relays the available bytes in both directions. An error names the side that reset its connection.
@@ -238,8 +182,10 @@
         if !self.move_message_queued
             && self.state.to_client.read(backend).map_err(|_| BrokenSide::Backend)? > 0
         {
+            self.backend_sent_at = self.core.now();
             self.record_backend_lines();
         }
+        self.queue_move_message();
         self.state.to_client.write(client).map_err(|_| BrokenSide::Client)?;
         self.update_stalled();
         if self.state.to_backend.read(client).map_err(|_| BrokenSide::Client)? > 0 {
@@ -284,8 +230,7 @@
         let BackendConnection { stream: backend, mut received } = connection;
         let answer_end = received.iter().position(|&byte| byte == b'\n').map_or(received.len(), |at| at + 1);
         let trailing = received.split_off(answer_end);
-        let state =
-            RelayState { to_client: Pipe { buffer: received, ..Pipe::default() }, ..RelayState::default() };
+        let state = RelayState { to_client: Pipe::starting_with(received), ..RelayState::default() };
         (EstablishedConnection { client, backend, state }, trailing)
     }
 }
@@ -301,7 +246,10 @@
     trailing: Vec<u8>,
 ) -> RelayOutcome {
     let end_with = |reason| RelayOutcome::Ended(AttemptEnd { stage: AttemptStage::Established, reason });
-    let EstablishedConnection { client, backend, state } = established;
+    let EstablishedConnection { client, backend, mut state } = established;
+    // The state may come from a process of an earlier version.
+    let mid_line = !state.to_client.buffer.is_empty() || state.backend_lines.in_line();
+    state.to_client.assume_destination_mid_line(mid_line);
     let next_unanswered_report = state
         .unanswered_since
         .front()
@@ -316,6 +264,7 @@
         next_unanswered_report,
         final_reply: None,
         move_requested_at: None,
+        backend_sent_at: 0,
         move_message_queued: false,
         detach_requested: false,
         ended_at: None,
@@ -364,25 +313,14 @@
         {
             return RelayOutcome::Detached(EstablishedConnection { state: relay.state, client, backend });
         }
-        if let Some(requested_at) = relay.move_requested_at.filter(|_| relay.ended_at.is_none()) {
-            let between_lines = relay.state.to_client.buffer.is_empty() && !relay.state.backend_lines.in_line;
-            if between_lines && !relay.move_message_queued {
-                // The backend's connection is closed only once the move message is written: a client that
-                // reads late gets the message late.
-                relay.move_message_queued = true;
-                relay.state.to_client.buffer.extend_from_slice(protocol.move_message());
-                continue;
-            }
-            if relay.move_message_queued && relay.state.to_client.buffer.is_empty()
-                || !relay.move_message_queued
-                    && !relay.stalled
-                    && now >= requested_at + LINE_COMPLETION_TIMEOUT_US
-            {
-                drop(backend);
-                relay.request_handle.end_attempt(Status::Cancelled);
-                send_and_close(core, client, b"").await;
-                return end_with(EndReason::ClientGone);
-            }
+        // The backend's connection is closed only once the move message is written: a client that reads late gets
+        // the message late.
+        let is_moved = relay.move_message_queued && relay.state.to_client.buffer.is_empty();
+        if is_moved || now >= relay.line_completion_deadline() {
+            drop(backend);
+            relay.request_handle.end_attempt(Status::Cancelled);
+            send_and_close(core, client, b"").await;
+            return end_with(EndReason::ClientGone);
         }
         if now >= relay.next_check() {
             relay.report_unanswered();
