A client that waits for the end of a line delays no other move at a stop

What callers saw: at a planned stop one client whose backend was silent within a line, or who did not read, was asked to move again and again, and all the others were moved at the last moment at once instead of spread over the time.

Cause: each step of the spread took the first of all established connections, and one that waits for the end of a line stays established.

Fix: each client is asked once in the spread. The last moves ask everyone who is left, as before.

a_client_that_waits_for_the_end_of_a_line_delays_no_other_move failed before: the waiting client was closed before the others were moved.

--- a/crates/pierloom/tests/moves.rs
+++ b/crates/pierloom/tests/moves.rs
@@ -125,6 +125,20 @@
     feed.assert_moved_between_lines();
 }
 
+// Guards against a planned stop that asks the same client to move again and again while it waits for the end of a
+// line, and leaves all others to the last moment.
+#[test]
+fn a_client_that_waits_for_the_end_of_a_line_delays_no_other_move() {
+    let (proxy, backend) = start("move-others");
+    let Feed { client: mut waiting, at_backend: _silent, .. } = Feed::start(&proxy, &backend, 100);
+    let mut others: Vec<(Peer, Peer)> = (0..3).map(|n| proxy.establish(&n.to_string(), &backend)).collect();
+    proxy.signal("-TERM");
+    for (client, _) in &mut others {
+        assert_eq!(client.line(), "MOVE\r\n");
+    }
+    assert_eq!(waiting.line_within(PIECE_INTERVAL), None, "the others are moved before its wait ends");
+}
+
 // Guards against lines that are cut because they do not fit into one read.
 #[test]
 fn clients_are_moved_between_lines_of_the_longest_length() {
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -4,6 +4,7 @@
 use crate::core::{Core, RequestCommand};
 use pierloom_decision::Micros;
 use pierloom_host::Signals;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::sync::SetOnce;
 
@@ -65,13 +66,20 @@
     core.deadlines
         .until(requested_at + FIRST_MOVE_DELAY_US.min((kill_at - requested_at) / FIRST_MOVE_DELAY_DIVISOR))
         .await;
+    let mut asked = BTreeSet::new();
     while core.now() < last_move {
-        let (time_left, established) = (last_move - core.now(), core.established_requests());
+        // A client that waits for the end of a line stays established, and is asked only once.
+        let mut remaining = core.established_requests();
+        remaining.retain(|id| !asked.contains(id));
+        let time_left = last_move - core.now();
         // One move at a time where that spreads them over the remaining time, several at once where they are
         // many.
-        let interval = (time_left / (established.len() as Micros + 1)).max(MIN_MOVE_INTERVAL_US);
-        let batch_size = (established.len() as Micros * interval).div_ceil(time_left) as usize;
-        established.into_iter().take(batch_size).for_each(|id| core.send_command(id, RequestCommand::Move));
+        let interval = (time_left / (remaining.len() as Micros + 1)).max(MIN_MOVE_INTERVAL_US);
+        let batch_size = (remaining.len() as Micros * interval).div_ceil(time_left) as usize;
+        for id in remaining.into_iter().take(batch_size) {
+            core.send_command(id, RequestCommand::Move);
+            asked.insert(id);
+        }
         core.deadlines.until((core.now() + interval).min(last_move)).await;
     }
     // Clients that are not served by now get an answer while there is time to go elsewhere; the decision
