A move that waits for the end of a line is handed over to the new process

What callers saw: a client whose move waited for the rest of a line at an upgrade stayed with the old process, and was cut off without MOVE after 2 s or at that process's end. Found by reading, among the waits for a line's end.

Cause: the relay let no connection go once a move had been requested.

Fix: it goes as long as MOVE is not in the buffer, and its state says that a move was requested.

a_move_that_waits_for_the_end_of_a_line_is_handed_over failed before: the client got the end of the connection and neither the line nor MOVE.

--- a/crates/pierloom/tests/moves.rs
+++ b/crates/pierloom/tests/moves.rs
@@ -125,6 +125,25 @@
     feed.assert_moved_between_lines();
 }
 
+// Guards against a client that an old process holds until its end, and then cuts off, because its move waits for
+// the end of a line: the new process can wait longer.
+#[test]
+fn a_move_that_waits_for_the_end_of_a_line_is_handed_over() {
+    let (folder, backend) = (Folder::new("move-waits"), Backend::new("n"));
+    let entries = [backend.entry("ready")];
+    let (mut old, console) = Proxy::start_in_folder(&folder, None, &entries);
+    wait_until_healthy(console);
+    let Feed { mut client, mut at_backend, .. } = Feed::start(&old, &backend, 100);
+    old.discovery.publish(&backend.entry("draining"));
+    assert_eq!(client.line_within(SILENCE), None, "the line has not ended");
+    let (_new, console) = Proxy::start_in_folder(&folder, Some(old.address), &entries);
+    wait_until_healthy(console);
+    old.signal("-TERM");
+    assert!(old.wait_for_exit().success());
+    at_backend.send("rest\r\n");
+    assert_eq!((client.line(), client.line()), ("rest\r\n".to_string(), "MOVE\r\n".to_string()));
+}
+
 // Guards against a planned stop that asks the same client to move again and again while it waits for the end of a
 // line, and leaves all others to the last moment.
 #[test]
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -38,6 +38,9 @@
     /// When the proxy read each message of the client that has no answer yet.
     #[serde(rename = "waiting")]
     unanswered_since: VecDeque<Micros>,
+    /// Whether a move was requested, which waits for the end of a line.
+    #[serde(rename = "move", default)]
+    move_requested: bool,
 }
 
 impl RelayState {
@@ -260,10 +263,10 @@
         request_handle,
         backend_id,
         stalled: !state.to_client.buffer.is_empty(),
+        move_requested_at: state.move_requested.then(|| core.now()),
         state,
         next_unanswered_report,
         final_reply: None,
-        move_requested_at: None,
         backend_sent_at: 0,
         move_message_queued: false,
         detach_requested: false,
@@ -308,9 +311,10 @@
         }
         if std::mem::take(&mut relay.detach_requested)
             && relay.ended_at.is_none()
-            && relay.move_requested_at.is_none()
+            && !relay.move_message_queued
             && relay.final_reply.is_none()
         {
+            relay.state.move_requested = relay.move_requested_at.is_some();
             return RelayOutcome::Detached(EstablishedConnection { state: relay.state, client, backend });
         }
         // The backend's connection is closed only once the move message is written: a client that reads late gets
