--- a/crates/pierloom/tests/harness/proxy.rs
+++ b/crates/pierloom/tests/harness/proxy.rs
@@ -3,7 +3,7 @@
 use super::kernel_socket::KernelSocket;
 use super::{
     Backend, ConfigFile, Discovery, EVENT_TIMEOUT, Folder, Peer, SETTINGS, config_text, poll_until,
-    program_command, send_signal, strace_command, wait_for_exit, write_config_file,
+    program_command, send_signal, strace_command, wait_for_exit, wait_until_healthy, write_config_file,
 };
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -95,6 +95,17 @@
         Proxy::start_sharing_folder(program_command(&["serve"]), folder, listen, entries)
     }
 
+    /// The same as `start_in_folder`, and waits until the proxy reports itself as serving.
+    pub fn start_serving(
+        folder: &Folder,
+        listen: Option<SocketAddr>,
+        entries: &[String],
+    ) -> (Self, SocketAddr) {
+        let (proxy, console) = Proxy::start_in_folder(folder, listen, entries);
+        wait_until_healthy(console);
+        (proxy, console)
+    }
+
     /// The same as `start_in_folder`, under `strace` with these arguments.
     pub fn start_in_folder_traced(
         folder: &Folder,
--- a/crates/pierloom/tests/moves.rs
+++ b/crates/pierloom/tests/moves.rs
@@ -6,7 +6,8 @@
 #[allow(dead_code)] // each test program uses only a part of the harness
 mod harness;
 
-use harness::{Backend, EVENT_TIMEOUT, Folder, Peer, Proxy, call_console, wait_until_healthy};
+use harness::{Backend, EVENT_TIMEOUT, Folder, Peer, Proxy, call_console};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -61,14 +62,14 @@
     }
 
     /// Runs the feed, and checks that the client got whole lines in order, then MOVE and the end.
-    fn assert_moved_between_lines(self) {
+    fn assert_moved_between_lines(self, name: &str) {
         let length = self.line_length;
         let lines = self.run_until_closed();
         let (last, feed) = lines.split_last().expect("a line");
-        assert_eq!(last, "MOVE\r\n", "after {} lines", feed.len());
+        assert_eq!(last, "MOVE\r\n", "{name}: after {} lines", feed.len());
         for (number, line) in feed.iter().enumerate() {
             let expected = Feed::line(number, length) + "\r\n";
-            assert_eq!(*line, expected[usize::from(number == 0)..], "line {number}");
+            assert_eq!(*line, expected[usize::from(number == 0)..], "{name}: line {number}");
         }
     }
 }
@@ -79,50 +80,40 @@
     (Proxy::start(name, &[&backend]), backend)
 }
 
-// Guards against clients that are cut off without MOVE at a planned stop because their backends' lines come in
-// pieces that never end with a line.
+// Guards against clients that are cut off without MOVE because their backends' lines come in pieces that never end
+// with a line, whatever moves them, and if a line does not fit into one read.
 #[test]
-fn a_planned_stop_moves_clients_whose_lines_come_in_pieces() {
-    let (proxy, backend) = start("move-stop");
-    let feed = Feed::start(&proxy, &backend, 100);
-    proxy.signal("-TERM");
-    feed.assert_moved_between_lines();
-}
-
-// Guards against the same for a backend that drains.
-#[test]
-fn a_drain_moves_clients_whose_lines_come_in_pieces() {
-    let (proxy, backend) = start("move-drain");
-    let feed = Feed::start(&proxy, &backend, 100);
-    proxy.discovery.publish(&backend.entry("draining"));
-    feed.assert_moved_between_lines();
-}
-
-// Guards against the same for a backend that operators put into maintenance.
-#[test]
-fn maintenance_moves_clients_whose_lines_come_in_pieces() {
-    let backend = Backend::new("n");
-    let entries = [backend.entry("ready")];
-    let (proxy, console) = Proxy::start_with_console("move-maintenance", 1024, &entries, harness::SETTINGS);
-    let feed = Feed::start(&proxy, &backend, 100);
-    assert_eq!(call_console(console, "POST", "/label-servers/n/maint").0, 200);
-    feed.assert_moved_between_lines();
+fn clients_are_moved_between_lines_that_come_in_pieces() {
+    type RequestMove = fn(&Proxy, SocketAddr, &Backend);
+    let stop: RequestMove = |proxy, _, _| proxy.signal("-TERM");
+    let drain: RequestMove = |proxy, _, backend| proxy.discovery.publish(&backend.entry("draining"));
+    let maintain: RequestMove =
+        |_, console, _| assert_eq!(call_console(console, "POST", "/label-servers/n/maint").0, 200);
+    let moves =
+        [("stop", stop, 100), ("drain", drain, 100), ("maint", maintain, 100), ("long", stop, LONGEST_LINE)];
+    for (name, request_move, line_length) in moves {
+        let backend = Backend::new("n");
+        let entries = [backend.entry("ready")];
+        let (proxy, console) =
+            Proxy::start_with_console(&format!("move-{name}"), 1024, &entries, harness::SETTINGS);
+        let feed = Feed::start(&proxy, &backend, line_length);
+        request_move(&proxy, console, &backend);
+        feed.assert_moved_between_lines(name);
+    }
 }
 
-// Guards against the same for a process that took the connection over within a line.
+// Guards against the same at a process that took the connection over within a line.
 #[test]
 fn a_successor_moves_clients_that_it_took_over_within_a_line() {
     let (folder, backend) = (Folder::new("move-handed"), Backend::new("n"));
     let entries = [backend.entry("ready")];
-    let (mut old, console) = Proxy::start_in_folder(&folder, None, &entries);
-    wait_until_healthy(console);
+    let (mut old, _) = Proxy::start_serving(&folder, None, &entries);
     let feed = Feed::start(&old, &backend, 100);
-    let (new, console) = Proxy::start_in_folder(&folder, Some(old.address), &entries);
-    wait_until_healthy(console);
+    let (new, _) = Proxy::start_serving(&folder, Some(old.address), &entries);
     old.signal("-TERM");
     assert!(old.wait_for_exit().success());
     new.signal("-TERM");
-    feed.assert_moved_between_lines();
+    feed.assert_moved_between_lines("taken over");
 }
 
 // Guards against a client that an old process holds until its end, and then cuts off, because its move waits for
@@ -131,13 +122,11 @@
 fn a_move_that_waits_for_the_end_of_a_line_is_handed_over() {
     let (folder, backend) = (Folder::new("move-waits"), Backend::new("n"));
     let entries = [backend.entry("ready")];
-    let (mut old, console) = Proxy::start_in_folder(&folder, None, &entries);
-    wait_until_healthy(console);
+    let (mut old, _) = Proxy::start_serving(&folder, None, &entries);
     let Feed { mut client, mut at_backend, .. } = Feed::start(&old, &backend, 100);
     old.discovery.publish(&backend.entry("draining"));
     assert_eq!(client.line_within(SILENCE), None, "the line has not ended");
-    let (_new, console) = Proxy::start_in_folder(&folder, Some(old.address), &entries);
-    wait_until_healthy(console);
+    let (_new, _) = Proxy::start_serving(&folder, Some(old.address), &entries);
     old.signal("-TERM");
     assert!(old.wait_for_exit().success());
     at_backend.send("rest\r\n");
@@ -158,15 +147,6 @@
     assert_eq!(waiting.line_within(PIECE_INTERVAL), None, "the others are moved before its wait ends");
 }
 
-// Guards against lines that are cut because they do not fit into one read.
-#[test]
-fn clients_are_moved_between_lines_of_the_longest_length() {
-    let (proxy, backend) = start("move-longest");
-    let feed = Feed::start(&proxy, &backend, LONGEST_LINE);
-    proxy.signal("-TERM");
-    feed.assert_moved_between_lines();
-}
-
 // Guards against clients that are cut off without MOVE while a slow backend is still sending their line.
 #[test]
 fn a_line_that_a_slow_backend_takes_long_to_send_is_awaited() {
--- a/crates/pierloom/tests/upgrade.rs
+++ b/crates/pierloom/tests/upgrade.rs
@@ -44,14 +44,12 @@
 fn an_upgrade_refuses_no_client_and_keeps_what_the_predecessor_learned() {
     let (folder, backends) = (Folder::new("whole"), [Backend::new("n1"), Backend::new("n2")]);
     let entries = backends.each_ref().map(|backend| backend.entry("ready"));
-    let (mut old, old_console) = Proxy::start_in_folder(&folder, None, &entries);
-    wait_until_healthy(old_console);
+    let (mut old, old_console) = Proxy::start_serving(&folder, None, &entries);
     // Discovery publishes the drain after the start. The config of the successor is older.
     old.discovery.publish(&backends[1].entry("draining"));
     while metric_value(&call_console(old_console, "GET", "/stats").1, "lb_targets_disabled") == 0 {}
     let mut connections = establish_all(&old, &backends[0], "a", 5);
-    let (new, console) = Proxy::start_in_folder(&folder, Some(old.address), &entries);
-    wait_until_healthy(console);
+    let (new, console) = Proxy::start_serving(&folder, Some(old.address), &entries);
     // The successor accepts the connections that wait in the queue while the predecessor ends.
     old.signal("-TERM");
     let during = establish_all(&new, &backends[0], "b", 20);
@@ -70,11 +68,9 @@
 fn maintenance_outlasts_an_upgrade_and_a_call_at_either_process_reaches_both() {
     let (folder, backends) = (Folder::new("maintenance"), [Backend::new("n1"), Backend::new("n2")]);
     let entries = backends.each_ref().map(|backend| backend.entry("ready"));
-    let (old, old_console) = Proxy::start_in_folder(&folder, None, &entries);
-    wait_until_healthy(old_console);
+    let (old, old_console) = Proxy::start_serving(&folder, None, &entries);
     assert_eq!(post_maintenance(old_console, "n2", "maint"), 200);
-    let (new, console) = Proxy::start_in_folder(&folder, Some(old.address), &entries);
-    wait_until_healthy(console);
+    let (new, console) = Proxy::start_serving(&folder, Some(old.address), &entries);
     let _connections = establish_all(&new, &backends[0], "a", 20);
     let disabled = |console| metric_value(&call_console(console, "GET", "/stats").1, "lb_targets_disabled");
     // While both processes run: a call at the successor, then one at the predecessor.
@@ -92,13 +88,11 @@
 fn repeated_upgrades_keep_all_connections() {
     let (folder, backend) = (Folder::new("repeated"), Backend::new("n1"));
     let entries = [backend.entry("ready")];
-    let (mut running, console) = Proxy::start_in_folder(&folder, None, &entries);
-    wait_until_healthy(console);
+    let (mut running, _) = Proxy::start_serving(&folder, None, &entries);
     let mut connections = Vec::new();
     for round in ["a", "b", "c"] {
         connections.extend(establish_all(&running, &backend, round, 3));
-        let (next, console) = Proxy::start_in_folder(&folder, Some(running.address), &entries);
-        wait_until_healthy(console);
+        let (next, _) = Proxy::start_serving(&folder, Some(running.address), &entries);
         running.signal("-TERM");
         assert!(running.wait_for_exit().success());
         running = next;
@@ -115,8 +109,7 @@
 #[test]
 fn a_successor_that_dies_during_the_handover_loses_no_request() {
     let (folder, backend) = (Folder::new("dies"), Backend::new("n1"));
-    let (old, console) = Proxy::start_in_folder(&folder, None, &[backend.entry("ready")]);
-    wait_until_healthy(console);
+    let (old, _) = Proxy::start_serving(&folder, None, &[backend.entry("ready")]);
     for message in ["", "\"tak", "\"taken\"\n", "nonsense\n"] {
         // Until the proxy notices the death of the previous successor, it accepts no other.
         let connect = || HandoverPeer::connect(&folder.file("pierloom-p0.sock")).ok();
@@ -138,8 +131,7 @@
 fn connections_handed_over_at_any_stage_lose_no_bytes() {
     let (folder, backend) = (Folder::new("stages"), Backend::new("n1"));
     let entries = [backend.entry("ready")];
-    let (mut old, console) = Proxy::start_in_folder(&folder, None, &entries);
-    wait_until_healthy(console);
+    let (mut old, _) = Proxy::start_serving(&folder, None, &entries);
     let (mut mid_line, mut mid_line_backend) = old.establish("1", &backend);
     mid_line.send("up");
     mid_line_backend.send("down");
@@ -154,8 +146,7 @@
     incomplete.send("OPEN 0a4 ");
     // The listener accepts in order: once this request is served, the connection before it is accepted.
     old.establish("5", &backend);
-    let (mut new, console) = Proxy::start_in_folder(&folder, Some(old.address), &entries);
-    wait_until_healthy(console);
+    let (mut new, console) = Proxy::start_serving(&folder, Some(old.address), &entries);
     old.signal("-TERM");
     unanswered_backend.send("UP late\r\nmore\r\n");
     incomplete.send("4 c=feed,d=4800\r\n");
@@ -196,8 +187,7 @@
 #[test]
 fn connections_that_the_successor_does_not_accept_are_moved() {
     let (folder, backend) = (Folder::new("refused"), Backend::new("n1"));
-    let (mut old, console) = Proxy::start_in_folder(&folder, None, &[backend.entry("ready")]);
-    wait_until_healthy(console);
+    let (mut old, _) = Proxy::start_serving(&folder, None, &[backend.entry("ready")]);
     let mut connections = establish_all(&old, &backend, "a", 3);
     let mut successor = HandoverPeer::connect(&folder.file("pierloom-p0.sock")).unwrap();
     successor.send("\"taken\"\n");
@@ -240,9 +230,7 @@
             message.is_none().then_some((successor, handover))
         });
         let other = Backend::new("n2");
-        let (new, console) =
-            Proxy::start_in_folder(&folder, None, &[backend.entry("ready"), other.entry("ready")]);
-        wait_until_healthy(console);
+        let (new, _) = Proxy::start_serving(&folder, None, &[backend.entry("ready"), other.entry("ready")]);
         establish_all(&new, &backend, "a", 10);
         assert!(other.has_no_new_connection(), "the maintenance was stored on disk");
         drop(predecessor.join());
@@ -255,25 +243,21 @@
 fn a_process_starts_from_the_files_of_a_killed_predecessor() {
     let (folder, backends) = (Folder::new("left"), [Backend::new("n1"), Backend::new("n2")]);
     let entries = backends.each_ref().map(|backend| backend.entry("ready"));
-    let (killed, console) = Proxy::start_in_folder(&folder, None, &entries);
-    wait_until_healthy(console);
+    let (killed, console) = Proxy::start_serving(&folder, None, &entries);
     assert_eq!(post_maintenance(console, "n2", "maint"), 200);
     killed.signal("-KILL");
     let address = killed.address;
     drop(killed);
-    let (restarted, console) = Proxy::start_in_folder(&folder, Some(address), &entries);
-    wait_until_healthy(console);
+    let (restarted, _) = Proxy::start_serving(&folder, Some(address), &entries);
     establish_all(&restarted, &backends[0], "a", 20);
     assert!(backends[1].has_no_new_connection(), "the maintenance outlasts the process");
     // The restarted process can be upgraded as well.
-    let (successor, console) = Proxy::start_in_folder(&folder, Some(address), &entries);
-    wait_until_healthy(console);
+    let (successor, _) = Proxy::start_serving(&folder, Some(address), &entries);
     establish_all(&successor, &backends[0], "b", 20);
     assert!(backends[1].has_no_new_connection());
     drop((restarted, successor));
     std::fs::write(folder.file("pierloom-p0.withheld"), "[\"n").unwrap();
-    let (damaged, console) = Proxy::start_in_folder(&folder, None, &entries);
-    wait_until_healthy(console);
+    let (damaged, _) = Proxy::start_serving(&folder, None, &entries);
     establish_all(&damaged, &backends[0], "c", 1);
 }
 
@@ -282,8 +266,7 @@
 #[test]
 fn sigterm_before_the_takeover_is_a_planned_stop() {
     let (folder, backend) = (Folder::new("stop"), Backend::new("n1"));
-    let (mut old, console) = Proxy::start_in_folder(&folder, None, &[backend.entry("ready")]);
-    wait_until_healthy(console);
+    let (mut old, _) = Proxy::start_serving(&folder, None, &[backend.entry("ready")]);
     let mut connections = establish_all(&old, &backend, "a", 2);
     let mut successor = HandoverPeer::connect(&folder.file("pierloom-p0.sock")).unwrap();
     successor.message();
@@ -321,8 +304,7 @@
 #[test]
 fn a_connection_survives_a_predecessor_killed_during_its_handover() {
     let (first_folder, backend) = (Folder::new("predecessor"), Backend::new("n1"));
-    let (old, console) = Proxy::start_in_folder(&first_folder, None, &[backend.entry("ready")]);
-    wait_until_healthy(console);
+    let (old, _) = Proxy::start_serving(&first_folder, None, &[backend.entry("ready")]);
     let _connections = establish_all(&old, &backend, "a", 1);
     let mut successor = HandoverPeer::connect(&first_folder.file("pierloom-p0.sock")).unwrap();
     successor.send("\"taken\"\n");
@@ -350,8 +332,7 @@
             let sockets = [client_end.as_fd(), backend_end.as_fd()];
             send_with_sockets(successor.stream(), &connection_message, &sockets);
         });
-        let (_new, console) = Proxy::start_in_folder(&folder, None, &[backend.entry("ready")]);
-        wait_until_healthy(console);
+        let (_new, _) = Proxy::start_serving(&folder, None, &[backend.entry("ready")]);
         predecessor.join().unwrap();
         client.send("m\r\n");
         assert_eq!(at_backend.line(), "m\r\n");
@@ -381,8 +362,7 @@
         "the console must answer within a second"
     );
     drop(proxy);
-    let (after, console) = Proxy::start_in_folder(&folder, None, &entries);
-    wait_until_healthy(console);
+    let (after, console) = Proxy::start_serving(&folder, None, &entries);
     assert!(after.send_request("a").line().starts_with("BUSY"));
     assert!(backend.has_no_new_connection(), "a backend in maintenance gets no new request");
     assert_eq!(post_maintenance(console, "n1", "ready"), 200);
@@ -391,8 +371,7 @@
 /// Starts a process with two backends, and takes over from it as its successor.
 fn take_over_from_process(folder: &Folder, backends: &[Backend; 2]) -> (Proxy, SocketAddr, HandoverPeer) {
     let entries = backends.each_ref().map(|backend| backend.entry("ready"));
-    let (old, console) = Proxy::start_in_folder(folder, None, &entries);
-    wait_until_healthy(console);
+    let (old, console) = Proxy::start_serving(folder, None, &entries);
     let mut successor = HandoverPeer::connect(&folder.file("pierloom-p0.sock")).unwrap();
     successor.message();
     successor.send("\"taken\"\n");
--- a/crates/pierloom/tests/upgrade_identities.rs
+++ b/crates/pierloom/tests/upgrade_identities.rs
@@ -6,7 +6,7 @@
 #[allow(dead_code)] // each test program uses only a part of the harness
 mod harness;
 
-use harness::{Backend, Folder, HandoverPeer, Peer, Proxy, poll_until, wait_until_healthy};
+use harness::{Backend, Folder, HandoverPeer, Peer, Proxy, poll_until};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,15 +15,13 @@
 
 /// Starts a process that others can take over from.
 fn start_old(folder: &Folder, backend: &Backend) -> Proxy {
-    let (old, console) = Proxy::start_in_folder(folder, None, &[backend.entry("ready")]);
-    wait_until_healthy(console);
+    let (old, _) = Proxy::start_serving(folder, None, &[backend.entry("ready")]);
     old
 }
 
 /// Starts a process that takes over from the one at `address`, and waits until it serves.
 fn start_new(folder: &Folder, address: SocketAddr, backend: &Backend) -> Proxy {
-    let (new, console) = Proxy::start_in_folder(folder, Some(address), &[backend.entry("ready")]);
-    wait_until_healthy(console);
+    let (new, _) = Proxy::start_serving(folder, Some(address), &[backend.entry("ready")]);
     new
 }
 
