A request line is kept only until its request is served or passed on

The line stayed with the task for as long as its connection, up to 4 KiB each. What passes a client to the successor is a function of its own. Marks that are already in force are not reported to the decision module once more when the other process of an upgrade has ended.

--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -205,32 +205,45 @@
     request: Box<dyn ClientRequest>,
 }
 
-/// Serves a request, or hands its client over to the successor process if that process serves all new requests.
+/// Serves a request in this process or in its successor.
 async fn serve_request(
     core: Rc<Core>,
     protocol: Rc<dyn Protocol>,
-    mut client: TcpStream,
+    client: TcpStream,
     received: ReceivedRequest,
     guard: ShutdownGuard,
 ) {
-    let ReceivedRequest { line, request } = received;
-    if core.successor_serves_requests() {
-        match core.hand_over_client(line, client).await {
-            Ok(()) => return,
-            Err(returned) => client = returned,
-        }
-    }
-    if core.successor_serves_requests() {
-        // The successor could not take the client, and only the successor can tell whether the identity is free.
-        core.metrics.count_answer(request.request().class, FinalAnswer::Refused);
-        return send_and_close(&core, client, &protocol.refusal(Some(RETRY_AFTER_US))).await;
-    }
+    let Some((client, request)) = pass_to_successor(&core, &*protocol, client, received).await else {
+        return;
+    };
     let handler = request_handler::run(core, protocol, client, request);
     // `run` registers the request before it first waits, so the process cannot end in between.
     drop(guard);
     handler.await;
 }
 
+/// Hands a client over to the successor process if that process serves all new requests. Returns the client and
+/// its request if this process serves them.
+async fn pass_to_successor(
+    core: &Rc<Core>,
+    protocol: &dyn Protocol,
+    client: TcpStream,
+    received: ReceivedRequest,
+) -> Option<(TcpStream, Box<dyn ClientRequest>)> {
+    let ReceivedRequest { line, request } = received;
+    if !core.successor_serves_requests() {
+        return Some((client, request));
+    }
+    let returned = core.hand_over_client(line, client).await.err()?;
+    if !core.successor_serves_requests() {
+        return Some((returned, request));
+    }
+    // The successor could not take the client, and only the successor can tell whether the identity is free.
+    core.metrics.count_answer(request.request().class, FinalAnswer::Refused);
+    send_and_close(core, returned, &protocol.refusal(Some(RETRY_AFTER_US))).await;
+    None
+}
+
 /// Refuses a client for lack of capacity, without waiting.
 fn refuse(stream: &TcpStream, protocol: &dyn Protocol) {
     stream.set_nodelay();
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -190,8 +190,9 @@
         }
     }
 
-    /// Restores the backends in maintenance from the file that a process of this proxy wrote last. A process
-    /// that was killed, or a handover that was interrupted, does not lose them.
+    /// Restores the backends in maintenance from the file that a process of this proxy wrote last, beside those
+    /// that are in maintenance already. A process that was killed, or a handover that was interrupted, does not
+    /// lose them.
     fn restore_maintenance(&self, paths: &HandoverPaths) {
         let backends = match self.core.host.read_file(&paths.maintenance) {
             Ok(mut bytes) => {
@@ -201,7 +202,11 @@
             Err(e) => Err(e.to_string()),
         };
         match backends {
-            Ok(backends) => backends.iter().for_each(|backend| self.report_maintenance(backend, true)),
+            Ok(backends) => {
+                let known = self.core.backends_in_maintenance();
+                let new = backends.iter().filter(|backend| !known.contains(backend));
+                new.for_each(|backend| self.report_maintenance(backend, true));
+            }
             Err(e) => {
                 tracing::warn!(
                     target: "upgrade",
