--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -80,12 +80,13 @@
     def move_away(self):
         """A new configuration names another address: no new connection, and the open ones end after 1.5 s."""
         self.server.close()
+        open_now = list(self.writers)
+        asyncio.get_running_loop().call_later(1.5, lambda: [writer.close() for writer in open_now])
 
-        def close_open():
-            for writer in list(self.writers):
-                writer.close()
-
-        return asyncio.get_running_loop().call_later(1.5, close_open)
+    async def come_back(self):
+        """A new configuration names this address again."""
+        host, port = self.address.split(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port))
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
