--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -184,6 +184,12 @@
         return {"name": self.name, "address": self.address, "zone": self.zone, "type": "m", "group": self.cell,
                 "status": status, "weight": 1.0, "since_ms": 0}
 
+    def stop(self):
+        """The process ends: its connections end, and new ones are refused."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
