--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -69,7 +69,7 @@
         self.store, self.record, self.name = store, record, name
         self.open_wait = 0.0  # how long a call that opens a watch, or asks for the list, waits for its turn
         self.open_fails = False  # such a call has waited too long then, and ends with 503
-        self.accepting = True
+        self.whole_lists = False  # answers watches with the whole list, as the page allows, in place of what changed
         self.writers = set()
 
     async def start(self, port=0):
@@ -109,7 +109,7 @@
                 if "from" in query:
                     start = int(query["from"])
                     await self.store.newer(start, min(int(query.get("hold_ms", "0")), 60000) / 1000)
-                    body = self.store.delta(start)
+                    body = self.store.snapshot() if self.whole_lists else self.store.delta(start)
                 else:
                     body = self.store.snapshot()
                 data = json.dumps(body).encode()
