Count nothing as told on a discovery connection that the proxy has closed

The stand-in of the review counted an answer as told although the proxy had ended its side of the connection.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -112,7 +112,7 @@
                     body = self.store.snapshot() if self.whole_lists else self.store.delta(start)
                 else:
                     body = self.store.snapshot()
-                if writer.is_closing():
+                if writer.is_closing() or reader.at_eof():  # nobody is there to be told
                     return
                 data = json.dumps(body).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(data)
