Review: end all processes of a case that is told to end; ports below the outgoing ones

A case that got SIGTERM left its proxies running; it now ends them (seen once: none left of its own).

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -34,9 +35,15 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nobody listens on, below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def settings(**changes):
@@ -388,6 +395,9 @@
     record = Record(folder)
 
     async def body():
+        # Who ends this process also ends what it has started.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         processes, temporary = [], tempfile.mkdtemp(prefix="review-")
         try:
             faults = await asyncio.wait_for(case(record, temporary, processes), limit)
@@ -402,7 +412,7 @@
 
     try:
         faults = asyncio.run(body())
-    except (CouldNotRun, OSError, asyncio.TimeoutError) as error:
+    except (CouldNotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         record.note(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return COULD_NOT_RUN
