--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,6 +1,7 @@
 //! The config: the file named by LB_CONFIG, the environment variables that override it, and its reload.
 
-use crate::source::discovery::{self, EndpointsResponse};
+use crate::source::discovery;
+use crate::source::endpoints::EndpointsResponse;
 use pierloom_decision::{Balancer, Settings};
 use pierloom_host::Host;
 use pierloom_wire::{self as wire, NameIndex};
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -3,7 +3,7 @@
 
 use crate::relay::{EstablishedConnection, RelayState};
 use crate::request_handler::HandoverRecord;
-use crate::source::discovery::Endpoints;
+use crate::source::endpoints::Endpoints;
 use pierloom_decision::{LearnedState, Micros};
 use pierloom_host::{HandoverChannel, PassedSocket, TcpStream};
 use serde::{Deserialize, Serialize};
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -35,7 +35,8 @@
 use self::metrics::Metrics;
 use self::protocol::{Protocol, lines::LineProtocol};
 use self::shutdown::ShutdownRequest;
-use self::source::discovery::{self, Endpoints};
+use self::source::discovery;
+use self::source::endpoints::{Endpoints, apply_endpoints};
 use self::supervisor::Supervisor;
 use self::upgrade::Upgrades;
 use pierloom_decision::{Balancer, Event, ListKind};
@@ -107,7 +108,7 @@
         takeover.as_ref().map_or(config.initial_endpoints, |takeover| takeover.endpoints.snapshot());
     let endpoints = Rc::new(RefCell::new(Endpoints::default()));
     let index = Cell::new(Some(initial_endpoints.index()));
-    discovery::apply_endpoints(&core, &names, &endpoints, initial_endpoints, ListKind::Full);
+    apply_endpoints(&core, &names, &endpoints, initial_endpoints, ListKind::Full);
     let (discovery_sender, discovery_addresses) = watch::channel(config.discovery);
     supervisor
         .spawn("SIGHUP handling", reload::on_sighup(core.clone(), hangups, config.source, discovery_sender));
--- /dev/null
+++ b/crates/proxy/src/source/endpoints.rs
@@ -0,0 +1,184 @@
+//! The endpoint list: its form on the wire, and what the proxy knows of it.
+
+use crate::core::Core;
+use pierloom_decision::{Event, ListKind, Member, MemberState};
+use pierloom_wire::NameIndex;
+use serde::de::IgnoredAny;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+/// Upper limit of a backend's weight; a larger reported weight is lowered to it. No backend is larger than
+/// this many of the smallest backends.
+const MAX_WEIGHT: f64 = 1e6;
+
+#[derive(Clone, Copy, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+enum Status {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A backend as discovery reports it.
+#[derive(Clone, Deserialize, Serialize)]
+pub struct Endpoint {
+    name: String,
+    #[serde(default)]
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    group: u64,
+    status: Status,
+    weight: Option<f64>,
+    #[serde(default)]
+    since_ms: u64,
+}
+
+/// An entry of a response. An entry that cannot be parsed does not affect the others.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Entry {
+    Valid(Endpoint),
+    Invalid {
+        #[serde(default)]
+        name: String,
+    },
+    Unreadable(IgnoredAny),
+}
+
+/// A response of discovery, with its valid entries separated from the invalid ones. The initial endpoints in
+/// the config file have the same form.
+#[derive(Deserialize, Default)]
+#[serde(from = "RawResponse")]
+pub struct EndpointsResponse {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<Endpoint>,
+    /// Names of the backends whose entries are invalid; empty for an entry without a readable name.
+    invalid: Vec<String>,
+}
+
+/// A response of discovery as it arrives.
+#[derive(Deserialize)]
+struct RawResponse {
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    #[serde(default)]
+    endpoints: Vec<Entry>,
+}
+
+impl From<RawResponse> for EndpointsResponse {
+    fn from(raw: RawResponse) -> Self {
+        let mut response =
+            EndpointsResponse { index: raw.index, snapshot: raw.snapshot, ..EndpointsResponse::default() };
+        for entry in raw.endpoints {
+            match entry {
+                Entry::Valid(endpoint) => response.endpoints.push(endpoint),
+                Entry::Invalid { name } => response.invalid.push(name),
+                Entry::Unreadable(_) => response.invalid.push(String::new()),
+            }
+        }
+        response
+    }
+}
+
+impl Endpoint {
+    fn to_member(&self, names: &NameIndex) -> Member {
+        Member {
+            backend: self.name.as_str().into(),
+            state: match self.status {
+                Status::Ready => MemberState::Ready,
+                Status::Draining => MemberState::Draining,
+                Status::Gone => MemberState::Gone,
+            },
+            zone: names.zone(&self.zone),
+            cell: self.group,
+            // The bound keeps sums of weights finite, whatever discovery reports.
+            weight: self.weight.unwrap_or(1.0).min(MAX_WEIGHT),
+            started: self.since_ms.saturating_mul(1_000),
+        }
+    }
+}
+
+/// The known endpoints: all that discovery has reported so far, without the backends that are gone.
+#[derive(Clone, Default, Deserialize, Serialize)]
+pub struct Endpoints {
+    index: u64,
+    endpoints: BTreeMap<String, Endpoint>,
+}
+
+impl Endpoints {
+    /// Applies a response: a snapshot replaces all endpoints, a delta changes those that it names.
+    fn apply(&mut self, update: &EndpointsResponse, kind: ListKind) {
+        if kind == ListKind::Full {
+            self.endpoints.clear();
+        }
+        self.index = update.index;
+        for endpoint in &update.endpoints {
+            match endpoint.status {
+                Status::Gone => self.endpoints.remove(&endpoint.name),
+                _ => self.endpoints.insert(endpoint.name.clone(), endpoint.clone()),
+            };
+        }
+    }
+
+    /// Returns the endpoints as discovery would report them in a snapshot.
+    pub fn snapshot(&self) -> EndpointsResponse {
+        let endpoints = self.endpoints.values().cloned().collect();
+        EndpointsResponse { index: self.index, snapshot: true, endpoints, invalid: Vec::new() }
+    }
+}
+
+/// Passes a response of discovery to the core. The addresses go first, so that the proxy can connect to
+/// whichever backend the decision module picks. An invalid entry leaves the backend that it names unchanged.
+pub fn apply_endpoints(
+    core: &Core,
+    names: &NameIndex,
+    endpoints: &RefCell<Endpoints>,
+    mut update: EndpointsResponse,
+    kind: ListKind,
+) {
+    for name in &update.invalid {
+        tracing::warn!(target: "machine_list", "endpoint {name:?} has an invalid entry");
+        let previous = endpoints.borrow().endpoints.get(name).cloned();
+        update.endpoints.extend(previous.filter(|_| kind == ListKind::Full));
+    }
+    endpoints.borrow_mut().apply(&update, kind);
+    for endpoint in &update.endpoints {
+        match endpoint.address.parse() {
+            Ok(address) => core.set_address(endpoint.name.as_str().into(), address),
+            // A backend that is gone may be reported without an address.
+            Err(_) if matches!(endpoint.status, Status::Gone) => {}
+            Err(_) => {
+                tracing::warn!(
+                    target: "machine_list",
+                    "endpoint {} has the invalid address {:?}",
+                    endpoint.name,
+                    endpoint.address
+                )
+            }
+        }
+    }
+    let members = update.endpoints.iter().map(|endpoint| endpoint.to_member(names)).collect();
+    core.dispatch_event(Event::Members { kind, members });
+}
+
+impl EndpointsResponse {
+    /// The index from which to watch.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Whether the response says that it holds the whole list.
+    pub fn is_snapshot(&self) -> bool {
+        self.snapshot
+    }
+
+    /// Whether the response names no backend with a valid entry.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+}
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -8,7 +8,7 @@
 use crate::protocol::Protocol;
 use crate::relay::{EstablishedConnection, RelayState};
 use crate::request_handler::{self, HandoverRecord};
-use crate::source::discovery::Endpoints;
+use crate::source::endpoints::Endpoints;
 use pierloom_decision::{BackendId, ClockOffset, Event, LearnedState, Micros};
 use pierloom_host::{HandoverChannel, PassedSocket, TcpListener};
 use std::cell::{Cell, RefCell};
