A discovery address that is named again is a new service: ask it for the whole list

What callers saw: two SIGHUPs within half a second moved discovery to a second address and back, while calls waited 1.8 s there.

Cause: answers to calls from before a move were told from those of the responsible service by address. After A, B, A the answer to the old watch at A counted as one of the current service. The call for the whole list was dropped and only changes were asked for, while the decision module awaits a whole list after a move.

Fix: DiscoveryService is an address with a count of the services before it, made anew by each move, and calls and answers carry it. Index and connection of one service are one value (ServiceWatch), which a move replaces as a whole, so that the proxy cannot await a list without asking for it.

--- a/crates/pierloom/tests/harness/discovery.rs
+++ b/crates/pierloom/tests/harness/discovery.rs
@@ -100,7 +100,12 @@
 
     /// Waits until a proxy connects.
     pub fn wait_until_connected(&self) {
-        poll_until(|| (self.state.0.lock().unwrap().accepted > 0).then_some(())).expect("a connection");
+        self.wait_for_connections(1);
+    }
+
+    /// Waits until that many connections have been made since the start.
+    pub fn wait_for_connections(&self, count: usize) {
+        poll_until(|| (self.state.0.lock().unwrap().accepted >= count).then_some(())).expect("a connection");
     }
 
     /// Delays the first call of each connection, as if calls of other proxies were queued before it.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -37,6 +37,7 @@
 use self::shutdown::ShutdownRequest;
 use self::source::discovery;
 use self::source::endpoints::{Endpoints, apply_endpoints};
+use self::source::service::DiscoveryService;
 use self::supervisor::Supervisor;
 use self::upgrade::Upgrades;
 use pierloom_decision::{Balancer, Event, ListKind};
@@ -109,7 +110,7 @@
     let endpoints = Rc::new(RefCell::new(Endpoints::default()));
     let index = Cell::new(Some(initial_endpoints.index()));
     apply_endpoints(&core, &names, &endpoints, initial_endpoints, ListKind::Full);
-    let (discovery_sender, discovery_addresses) = watch::channel(config.discovery);
+    let (discovery_sender, discovery_services) = watch::channel(DiscoveryService::first(config.discovery));
     supervisor
         .spawn("SIGHUP handling", reload::on_sighup(core.clone(), hangups, config.source, discovery_sender));
     supervisor.spawn_restartable("endpoint list", {
@@ -119,7 +120,7 @@
                 core.clone(),
                 names.clone(),
                 endpoints.clone(),
-                discovery_addresses.clone(),
+                discovery_services.clone(),
                 index.take(),
             )
         }
--- a/crates/proxy/src/reload.rs
+++ b/crates/proxy/src/reload.rs
@@ -2,10 +2,10 @@
 
 use crate::config::ConfigFile;
 use crate::core::Core;
+use crate::source::service::DiscoveryService;
 use pierloom_decision::Micros;
 use pierloom_host::{Signals, TaskEnd};
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
 
@@ -21,7 +21,7 @@
     core: Rc<Core>,
     mut hangups: Signals,
     config_file: ConfigFile,
-    discovery: watch::Sender<SocketAddr>,
+    discovery: watch::Sender<DiscoveryService>,
 ) {
     let config_file = Rc::new(RefCell::new(config_file));
     while hangups.recv().await.is_some() {
@@ -32,16 +32,20 @@
     }
 }
 
-/// Reads the config again and publishes the new address of discovery. Requests, their connections and the
+/// Reads the config again and publishes the discovery service that it names anew. Requests, their connections and the
 /// learned state stay. Any other change of the file takes effect only at the next start.
-async fn reload(core: Rc<Core>, config_file: Rc<RefCell<ConfigFile>>, discovery: watch::Sender<SocketAddr>) {
+async fn reload(
+    core: Rc<Core>,
+    config_file: Rc<RefCell<ConfigFile>>,
+    discovery: watch::Sender<DiscoveryService>,
+) {
     let (signalled_at, mut error_logged) = (core.now(), false);
     loop {
         let reloaded = config_file.borrow_mut().reload(&core.host);
         match reloaded {
             Ok(Some(address)) => {
                 tracing::info!(target: "reload", "discovery is now at {address}");
-                discovery.send_replace(address);
+                discovery.send_modify(|service| *service = service.followed_by(address));
                 return;
             }
             Ok(None) => return,
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -4,11 +4,11 @@
     CallError, CallResponse, LateCalls, PendingCall, RequestSender, WATCH_HOLD_MS, call_discovery,
 };
 use super::endpoints::{Endpoints, apply_endpoints};
+use super::service::DiscoveryService;
 use crate::core::Core;
 use pierloom_decision::{Event, ListKind, Micros};
 use pierloom_wire::NameIndex;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -33,28 +33,42 @@
 enum WaitOutcome {
     Received(CallResponse),
     Failed(CallError),
-    /// Discovery has a new address.
+    /// Another discovery service is responsible.
     DiscoveryMoved,
     /// The next call is due.
     CallDue,
 }
 
+/// The watch of one discovery service. It is replaced as a whole when another service becomes responsible, so
+/// that no index and no connection outlasts the service that it came from.
+struct ServiceWatch {
+    service: DiscoveryService,
+    /// The last index received; `None` before the first response of this service, which has to be a whole list.
+    from_index: Option<u64>,
+    kept_sender: Option<RequestSender>,
+}
+
+impl ServiceWatch {
+    /// The watch of a service that has sent nothing yet.
+    fn new(service: DiscoveryService) -> Self {
+        ServiceWatch { service, from_index: None, kept_sender: None }
+    }
+}
+
 /// The state of watching discovery.
 struct Watcher<'a> {
     core: &'a Core,
     names: &'a NameIndex,
     endpoints: &'a RefCell<Endpoints>,
-    address_changes: watch::Receiver<SocketAddr>,
-    discovery: SocketAddr,
-    /// The last index received; `None` before the first response of the current discovery.
-    from_index: Option<u64>,
-    kept_sender: Option<RequestSender>,
+    service_changes: watch::Receiver<DiscoveryService>,
+    current: ServiceWatch,
     late_calls: LateCalls<'a>,
 }
 
-/// Watches discovery, and follows it to a new address. With a known index, the watch continues from that
+/// Watches discovery, and follows it to a new service. With a known index, the watch continues from that
 /// index once the decision module asks for a call; without one, a snapshot is requested at once. After a
-/// move of discovery a snapshot is requested at once too, whatever is left of a backoff.
+/// move of discovery a snapshot is requested at once too, whatever is left of a backoff, and until it has
+/// arrived every call to the new service asks for one.
 ///
 /// Where the proxy asks for endpoints, the decision module decides whether and when to call again after a
 /// failure. Where endpoints are pushed, the changes that the agent beside this proxy has must be obeyed
@@ -62,22 +76,22 @@
 /// that ended.
 ///
 /// A call that times out counts as failed, and another one follows. The connection of the late call is still
-/// read until some call is answered, and so is that of a call to the previous discovery address: what
-/// discovery has written there counts as received. Besides, an abandoned call keeps its place in discovery's
+/// read until the responsible service answers, and so is that of a call to an earlier service: what discovery
+/// has written there counts as received. Besides, an abandoned call keeps its place in discovery's
 /// queue: if all proxies abandoned their queued calls, discovery would be kept busy with calls whose
 /// responses no proxy reads.
 pub async fn watch(
     core: Rc<Core>,
     names: Rc<NameIndex>,
     endpoints: Rc<RefCell<Endpoints>>,
-    mut address_changes: watch::Receiver<SocketAddr>,
+    mut service_changes: watch::Receiver<DiscoveryService>,
     from_index: Option<u64>,
 ) {
-    let discovery = *address_changes.borrow_and_update();
+    let service = *service_changes.borrow_and_update();
     let (core, names, endpoints) = (&*core, &*names, &*endpoints);
-    let (kept_sender, late_calls) = (None, LateCalls::default());
-    let mut watcher =
-        Watcher { core, names, endpoints, address_changes, discovery, from_index, kept_sender, late_calls };
+    let current = ServiceWatch { from_index, ..ServiceWatch::new(service) };
+    let late_calls = LateCalls::default();
+    let mut watcher = Watcher { core, names, endpoints, service_changes, current, late_calls };
     let wait_first = from_index.is_some() && core.settings().ask_for_list;
     let mut outcome = if wait_first { watcher.wait_for_next_call().await } else { WaitOutcome::CallDue };
     loop {
@@ -95,8 +109,8 @@
             }
             WaitOutcome::DiscoveryMoved => {
                 core.dispatch_event(Event::Members { kind: ListKind::DiscoveryMoved, members: [].into() });
-                (watcher.from_index, watcher.kept_sender) = (None, None);
-                watcher.discovery = *watcher.address_changes.borrow_and_update();
+                let service = *watcher.service_changes.borrow_and_update();
+                watcher.current = ServiceWatch::new(service);
                 watcher.make_call().await
             }
             WaitOutcome::CallDue => watcher.make_call().await,
@@ -105,10 +119,10 @@
 }
 
 impl<'a> Watcher<'a> {
-    /// Applies a response of the current discovery.
+    /// Applies a response of the responsible service.
     fn apply_response(&mut self, CallResponse { update, is_snapshot, sender, .. }: CallResponse) {
-        (self.from_index, self.kept_sender, self.late_calls) =
-            (Some(update.index()), Some(sender), LateCalls::default());
+        (self.current.from_index, self.current.kept_sender) = (Some(update.index()), Some(sender));
+        self.late_calls = LateCalls::default();
         apply_endpoints(
             self.core,
             self.names,
@@ -118,20 +132,20 @@
         );
     }
 
-    /// Handles the response to a late call, and returns it if it is from the current discovery. The previous
-    /// discovery is watched further while it still answers, until the current one answers.
+    /// Handles the response to a late call, and returns it if it is from the responsible service. An earlier
+    /// service is watched further while it still answers, until the responsible one answers.
     fn handle_late(&mut self, response: CallResponse) -> Option<CallResponse> {
-        if response.discovery == self.discovery {
+        if response.service == self.current.service {
             return Some(response);
         }
-        let CallResponse { update, is_snapshot, discovery, sender } = response;
+        let CallResponse { update, is_snapshot, service, sender } = response;
         let (core, index) = (self.core, update.index());
-        // A snapshot of the previous discovery would be taken for the current one's.
+        // A snapshot of an earlier service would be taken for the responsible one's.
         if is_snapshot {
             return None;
         }
         apply_endpoints(core, self.names, self.endpoints, update, ListKind::Delta);
-        let next_call = Box::pin(call_discovery(core, Some(sender), discovery, Some(index)));
+        let next_call = Box::pin(call_discovery(core, Some(sender), service, Some(index)));
         self.late_calls.0.push((core.now(), next_call));
         None
     }
@@ -139,11 +153,11 @@
     /// Makes a call. If a late call is answered first, the watch continues there and this call is dropped.
     async fn make_call(&mut self) -> WaitOutcome {
         let (core, started_at) = (self.core, self.core.now());
-        let open_sender = self.kept_sender.take().filter(|sender| !sender.is_closed());
+        let open_sender = self.current.kept_sender.take().filter(|sender| !sender.is_closed());
         let timeout =
             if open_sender.is_some() { WATCH_HOLD_MS * 1_000 + HOLD_SLACK_US } else { WATCH_OPEN_TIMEOUT_US };
         let mut pending_call: PendingCall<'a> =
-            Box::pin(call_discovery(core, open_sender, self.discovery, self.from_index));
+            Box::pin(call_discovery(core, open_sender, self.current.service, self.current.from_index));
         let mut timed_out = pin!(core.deadlines.until(started_at + timeout));
         let outcome = loop {
             tokio::select! {
@@ -154,7 +168,7 @@
                 late = self.late_calls.next_response() => if let Some(response) = self.handle_late(late) {
                     return WaitOutcome::Received(response);
                 },
-                Ok(()) = self.address_changes.changed() => break WaitOutcome::DiscoveryMoved,
+                Ok(()) = self.service_changes.changed() => break WaitOutcome::DiscoveryMoved,
                 () = &mut timed_out => {
                     let reason = format!("timeout after {} ms", timeout / 1_000);
                     break WaitOutcome::Failed(CallError::at_stage("no response", reason));
@@ -181,7 +195,7 @@
                 late = self.late_calls.next_response() => if let Some(response) = self.handle_late(late) {
                     return WaitOutcome::Received(response);
                 },
-                Ok(()) = self.address_changes.changed() => return WaitOutcome::DiscoveryMoved,
+                Ok(()) = self.service_changes.changed() => return WaitOutcome::DiscoveryMoved,
                 () = &mut call_due => return WaitOutcome::CallDue,
             }
         }
--- a/crates/proxy/src/source/discovery_call.rs
+++ b/crates/proxy/src/source/discovery_call.rs
@@ -1,6 +1,7 @@
 //! Calls to the discovery service over HTTP/1.1, and the calls that may still be answered late.
 
 use super::endpoints::EndpointsResponse;
+use super::service::DiscoveryService;
 use crate::core::Core;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
@@ -54,11 +55,11 @@
     }
 }
 
-/// The response to a call, with the discovery address that sent it and the connection that it arrived on.
+/// The response to a call, with the discovery service that sent it and the connection that it arrived on.
 pub struct CallResponse {
     pub update: EndpointsResponse,
     pub is_snapshot: bool,
-    pub discovery: SocketAddr,
+    pub service: DiscoveryService,
     pub sender: RequestSender,
 }
 
@@ -91,18 +92,18 @@
 pub async fn call_discovery(
     core: &Core,
     kept_sender: Option<RequestSender>,
-    discovery: SocketAddr,
+    service: DiscoveryService,
     from_index: Option<u64>,
 ) -> Result<CallResponse, CallError> {
     let hold_ms = if kept_sender.is_some() { WATCH_HOLD_MS } else { 0 };
     let mut sender = match kept_sender {
         Some(sender) => sender,
-        None => connect(core, discovery).await?,
+        None => connect(core, service.address()).await?,
     };
     sender.ready().await.map_err(|e| CallError::at_stage("request not sent", e))?;
     let query = from_index.map_or(String::new(), |index| format!("?from={index}&hold_ms={hold_ms}"));
     let request = hyper::Request::get(format!("/api/targets{query}"))
-        .header(HOST, discovery.to_string())
+        .header(HOST, service.address().to_string())
         .body(Empty::new())
         .map_err(|e| CallError::at_stage("request not sent", e))?;
     let response = sender.send_request(request).await.map_err(|e| CallError::at_stage("no response", e))?;
@@ -120,11 +121,11 @@
         // If all backends left at once, discovery would report each of them as gone.
         return Err(CallError::at_stage("response", "snapshot without endpoints"));
     }
-    Ok(CallResponse { update, is_snapshot, discovery, sender })
+    Ok(CallResponse { update, is_snapshot, service, sender })
 }
 
-/// Calls that timed out or went to the previous discovery address, and may still be answered, each with its
-/// start time.
+/// Calls that timed out or went to an earlier discovery service, and may still be answered, each with its start
+/// time.
 #[derive(Default)]
 pub struct LateCalls<'a>(pub Vec<(Micros, PendingCall<'a>)>);
 
--- a/crates/proxy/src/source/mod.rs
+++ b/crates/proxy/src/source/mod.rs
@@ -3,3 +3,4 @@
 pub mod discovery;
 mod discovery_call;
 pub mod endpoints;
+pub mod service;
