A successor watches from a handed-over index only at the discovery it belongs to

What callers saw: nothing that was reported. Found on the paths related to the fault before: in an upgrade shortly after a move of discovery the new process asked its discovery for changes since an index of an earlier service, and could miss what the responsible one had.

Cause: the list is handed over with the last index received, from whichever service.

Fix: the handed-over list names the address of the service that its index belongs to, and none from a move until the responsible service has sent its list. At any other address the successor asks for the whole list; so it does after a process of an earlier version, whose messages lack the field.

Test: the successor's first call was `from=1` before the fix; it asks for the list now. The stand-in discovery lists what the config names, and the processes of an upgrade share it; before, each had one of its own with an empty list.

--- a/crates/pierloom/tests/discovery_moves.rs
+++ b/crates/pierloom/tests/discovery_moves.rs
@@ -6,7 +6,7 @@
 #[allow(dead_code)] // each test program uses a part of the harness
 mod harness;
 
-use harness::{Backend, Discovery, EVENT_TIMEOUT, Proxy, SETTINGS};
+use harness::{Backend, Discovery, EVENT_TIMEOUT, Folder, Proxy, SETTINGS};
 use std::thread;
 use std::time::Duration;
 
@@ -65,3 +65,25 @@
         assert_eq!(described, (1, 2), "{mode}, {detours} detours");
     }
 }
+
+// Guards against an upgrade in which the new process watches from an index of a discovery service that is no
+// longer responsible: the old process has moved to another one and back, and has no list of it yet.
+#[test]
+fn a_successor_asks_for_the_whole_list_if_the_predecessor_has_none_of_the_current_discovery() {
+    let (folder, backend) = (Folder::new("moved-upgrade"), Backend::new("n"));
+    let entries = [backend.entry("ready")];
+    let (mut old, _) = Proxy::start_serving(&folder, None, &entries);
+    assert_eq!(old.discovery.calls.recv_timeout(EVENT_TIMEOUT).unwrap().from_index, 1);
+    old.discovery.set_queue_delay(EVENT_TIMEOUT);
+    let detour = Discovery::new();
+    detour.set_queue_delay(EVENT_TIMEOUT);
+    let first = old.reload_with_discovery(detour);
+    old.discovery.wait_until_connected();
+    let _detour = old.reload_with_discovery(first);
+    old.discovery.wait_for_connections(2);
+    old.discovery.set_queue_delay(Duration::ZERO);
+    let (_new, _) = Proxy::start_serving(&folder, Some(old.address), &entries);
+    let calls = || old.discovery.calls.recv_timeout(EVENT_TIMEOUT).expect("a call");
+    let first_of_successor = std::iter::repeat_with(calls).find(|call| call.connection == 2).unwrap();
+    assert_eq!(first_of_successor.from_index, 0);
+}
--- a/crates/pierloom/tests/harness/discovery.rs
+++ b/crates/pierloom/tests/harness/discovery.rs
@@ -36,6 +36,20 @@
     queue_delay: Duration,
 }
 
+impl DiscoveryState {
+    /// The state of a service whose list has index 1 and these entries.
+    fn listing(entries: &[String]) -> Self {
+        let updates = entries.iter().map(|entry| (1, entry.clone())).collect();
+        DiscoveryState { index: 1, updates, ..DiscoveryState::default() }
+    }
+
+    /// Counts a new connection. Returns how long its first call waits.
+    fn accept(&mut self, connection: usize) -> Duration {
+        self.accepted = connection + 1;
+        self.queue_delay
+    }
+}
+
 /// A stand-in for the discovery service.
 pub struct Discovery {
     /// Address of the service.
@@ -46,19 +60,24 @@
 }
 
 impl Discovery {
-    /// Starts a service at a free address. Its endpoint list has index 1 and no updates.
+    /// Starts a service at a free address. Its endpoint list has index 1 and no entries.
     pub fn new() -> Self {
+        Discovery::listing(&[])
+    }
+
+    /// Starts a service at a free address. Its endpoint list has index 1 and these entries.
+    pub fn listing(entries: &[String]) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let state =
-            Arc::new((Mutex::new(DiscoveryState { index: 1, ..DiscoveryState::default() }), Condvar::new()));
+        let state = Arc::new((Mutex::new(DiscoveryState::listing(entries)), Condvar::new()));
         let (sender, calls) = channel();
         let shared = state.clone();
         thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
-                shared.0.lock().unwrap().accepted = connection + 1;
+                let queue_delay = shared.0.lock().unwrap().accept(connection);
                 let served = ServedConnection {
                     number: connection,
+                    queue_delay,
                     peer: Peer::new(stream),
                     state: shared.clone(),
                     calls: sender.clone(),
@@ -108,7 +127,8 @@
         poll_until(|| (self.state.0.lock().unwrap().accepted >= count).then_some(())).expect("a connection");
     }
 
-    /// Delays the first call of each connection, as if calls of other proxies were queued before it.
+    /// Delays the first call of each connection made from now on, as if calls of other proxies were queued
+    /// before it.
     pub fn set_queue_delay(&self, queue_delay: Duration) {
         self.state.0.lock().unwrap().queue_delay = queue_delay;
     }
@@ -123,6 +143,7 @@
 /// A connection of a proxy to the service.
 struct ServedConnection {
     number: usize,
+    queue_delay: Duration,
     peer: Peer,
     state: Arc<(Mutex<DiscoveryState>, Condvar)>,
     calls: Sender<DiscoveryCall>,
@@ -138,8 +159,7 @@
             let may_wait = !head.contains("hold_ms=0 ");
             // Only the first call of a connection is queued; later ones continue its watch.
             if std::mem::take(&mut is_first_call) {
-                let queue_delay = self.state.0.lock().unwrap().queue_delay;
-                thread::sleep(queue_delay);
+                thread::sleep(self.queue_delay);
             }
             if !self.answer(from_index, may_wait) {
                 return;
--- a/crates/pierloom/tests/harness/handover.rs
+++ b/crates/pierloom/tests/harness/handover.rs
@@ -1,7 +1,9 @@
 //! Handovers between two processes of the program.
 
 use super::EVENT_TIMEOUT;
+use std::cell::OnceCell;
 use std::io::{BufRead, BufReader, Read, Write};
+use std::net::SocketAddr;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 
@@ -63,7 +65,12 @@
 }
 
 /// A folder shared by proxy processes that upgrade each other.
-pub struct Folder(pub PathBuf);
+pub struct Folder {
+    /// Path of the folder.
+    pub path: PathBuf,
+    /// Address of the discovery service that these processes share: that of the one that started first.
+    pub discovery: OnceCell<SocketAddr>,
+}
 
 impl Folder {
     /// Creates the folder. It is removed when the value is dropped.
@@ -71,17 +78,17 @@
         // The path is short because the length of a Unix socket path is limited.
         let path = std::env::temp_dir().join(format!("pierloom-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&path).unwrap();
-        Folder(path)
+        Folder { path, discovery: OnceCell::new() }
     }
 
     /// Path of a file in the folder.
     pub fn file(&self, name: &str) -> PathBuf {
-        self.0.join(name)
+        self.path.join(name)
     }
 }
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
+        let _ = std::fs::remove_dir_all(&self.path);
     }
 }
--- a/crates/pierloom/tests/harness/proxy.rs
+++ b/crates/pierloom/tests/harness/proxy.rs
@@ -123,10 +123,12 @@
         listen: Option<SocketAddr>,
         entries: &[String],
     ) -> (Self, SocketAddr) {
-        command.env("LB_CONSOLE", "127.0.0.1:0").env("TMPDIR", &folder.0);
+        command.env("LB_CONSOLE", "127.0.0.1:0").env("TMPDIR", &folder.path);
+        command.envs(folder.discovery.get().map(|discovery| ("LB_DISCOVERY", discovery.to_string())));
         command.envs(listen.map(|listen| ("LB_LISTEN", listen.to_string())));
         // Each process has its own config file outside the shared folder.
         let proxy = Proxy::start_command(command, "upgrade", 1024, entries, SETTINGS);
+        folder.discovery.get_or_init(|| proxy.discovery.address);
         let line = proxy.next_log_line();
         let console = line.rsplit(' ').next().unwrap().parse().expect(&line);
         (proxy, console)
@@ -139,7 +141,7 @@
         entries: &[String],
         settings: &str,
     ) -> Self {
-        let discovery = Discovery::new();
+        let discovery = Discovery::listing(entries);
         let config = config_text(discovery.address, configured_descriptors, &entries.join(","), settings);
         let config_path = write_config_file(name, &config);
         let mut child = command.env("LB_CONFIG", &config_path).spawn().unwrap();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -39,7 +39,7 @@
 use self::source::endpoints::{Endpoints, apply_endpoints};
 use self::source::service::DiscoveryService;
 use self::supervisor::Supervisor;
-use self::upgrade::Upgrades;
+use self::upgrade::{Takeover, Upgrades};
 use pierloom_decision::{Balancer, Event, ListKind};
 use pierloom_host::{Host, Signal, Signals};
 use std::cell::{Cell, RefCell};
@@ -105,11 +105,17 @@
     });
     let upgrades = Upgrades::new(core.clone(), protocol.clone(), &config.name, config.console.is_some());
     let takeover = supervisor.supervise(upgrades.take_over()).await.map_err(|e| e.to_string())?;
-    let initial_endpoints =
-        takeover.as_ref().map_or(config.initial_endpoints, |takeover| takeover.endpoints.snapshot());
+    let (initial_endpoints, from_index) = match &takeover {
+        Some(Takeover { endpoints, .. }) => (endpoints.snapshot(), endpoints.index_at(config.discovery)),
+        None => {
+            let index = config.initial_endpoints.index();
+            (config.initial_endpoints, Some(index))
+        }
+    };
     let endpoints = Rc::new(RefCell::new(Endpoints::default()));
-    let index = Cell::new(Some(initial_endpoints.index()));
     apply_endpoints(&core, &names, &endpoints, initial_endpoints, ListKind::Full);
+    endpoints.borrow_mut().set_index_source(from_index.map(|_| config.discovery));
+    let from_index = Cell::new(from_index);
     let (discovery_sender, discovery_services) = watch::channel(DiscoveryService::first(config.discovery));
     supervisor
         .spawn("SIGHUP handling", reload::on_sighup(core.clone(), hangups, config.source, discovery_sender));
@@ -121,7 +127,7 @@
                 names.clone(),
                 endpoints.clone(),
                 discovery_services.clone(),
-                index.take(),
+                from_index.take(),
             )
         }
     });
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -111,6 +111,7 @@
                 core.dispatch_event(Event::Members { kind: ListKind::DiscoveryMoved, members: [].into() });
                 let service = *watcher.service_changes.borrow_and_update();
                 watcher.current = ServiceWatch::new(service);
+                endpoints.borrow_mut().set_index_source(None);
                 watcher.make_call().await
             }
             WaitOutcome::CallDue => watcher.make_call().await,
@@ -123,6 +124,7 @@
     fn apply_response(&mut self, CallResponse { update, is_snapshot, sender, .. }: CallResponse) {
         (self.current.from_index, self.current.kept_sender) = (Some(update.index()), Some(sender));
         self.late_calls = LateCalls::default();
+        self.endpoints.borrow_mut().set_index_source(Some(self.current.service.address()));
         apply_endpoints(
             self.core,
             self.names,
--- a/crates/proxy/src/source/endpoints.rs
+++ b/crates/proxy/src/source/endpoints.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// Upper limit of a backend's weight; a larger reported weight is lowered to it. No backend is larger than
 /// this many of the smallest backends.
@@ -107,6 +108,10 @@
 #[derive(Clone, Default, Deserialize, Serialize)]
 pub struct Endpoints {
     index: u64,
+    /// Address of the discovery service that the index belongs to. `None` while the responsible service has not
+    /// sent its list, and from a predecessor of a version that does not tell.
+    #[serde(rename = "index_of", default)]
+    index_source: Option<SocketAddr>,
     endpoints: BTreeMap<String, Endpoint>,
 }
 
@@ -125,6 +130,16 @@
         }
     }
 
+    /// The index from which the service at `address` can be watched, if that service has sent its list.
+    pub fn index_at(&self, address: SocketAddr) -> Option<u64> {
+        (self.index_source == Some(address)).then_some(self.index)
+    }
+
+    /// Records which service the index belongs to; `None` when another service becomes responsible.
+    pub fn set_index_source(&mut self, source: Option<SocketAddr>) {
+        self.index_source = source;
+    }
+
     /// Returns the endpoints as discovery would report them in a snapshot.
     pub fn snapshot(&self) -> EndpointsResponse {
         let endpoints = self.endpoints.values().cloned().collect();
