What an earlier discovery reports late binds where backends leave, and never brings one back

Cause: an answer of an earlier service was handled by its form. A delta was applied whole, so that it could also bring a backend back; a whole list was thrown away with all that it says. In the record of the case the list with `draining` crosses the socket 0.5 s after the signal, and nothing follows until the new address answers.

Fix: ListKind::Superseded. The module takes from such a report that a backend drains, is gone (also by being left out of a whole list) or has restarted, and nothing else: no backend becomes ready, and neither the list's age nor the reach of the responsible service changes. The word binds until the responsible service answers a call that was sent after it; its list, asked for before the word and arriving after it, no longer brings the backend back (Departures).

Tests: late whole list, list of an address in between, late `ready` in both forms, each with lists asked for and pushed, were red before the fix; the list asked for before the word, the unchanged age and reach and the late start fail without their parts of it.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -313,6 +313,10 @@
     Delta,
     /// The complete list (`full`, `cached`).
     Full,
+    /// Entries that a discovery service reported after another one had become responsible. They bind where a
+    /// backend leaves (draining, gone) or has restarted, until the responsible service sends its list. They
+    /// never make a backend ready, and do not renew the endpoints. The bench has none.
+    Superseded,
     /// A call to discovery failed or the subscription broke; no entries (`failed`).
     Failed,
     /// A call failed because discovery could not be reached; no entries.
--- a/crates/decision/src/freshness.rs
+++ b/crates/decision/src/freshness.rs
@@ -18,7 +18,7 @@
 }
 
 impl EndpointsFreshness {
-    /// Records a report of the endpoint list or a failed call. Returns whether the call failed.
+    /// Records a report about the endpoint list. Returns whether it has no entries, as after a failed call.
     pub fn record_update(&mut self, now: Micros, kind: ListKind) -> bool {
         let last_unreachable_at = self.last_unreachable_at.take();
         match kind {
@@ -34,9 +34,11 @@
                 self.last_unreachable_at = Some(now);
             }
             ListKind::DiscoveryMoved => self.discovery_moved_at = Some(now),
+            // An earlier service says nothing about the list of the responsible one, nor whether it is reachable.
+            ListKind::Superseded => self.last_unreachable_at = last_unreachable_at,
             ListKind::Failed => {}
         }
-        !matches!(kind, ListKind::Full | ListKind::Delta)
+        !matches!(kind, ListKind::Full | ListKind::Delta | ListKind::Superseded)
     }
 }
 
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod admission;
 pub mod api;
+mod endpoints;
 mod fair_share;
 mod freshness;
 mod learned_state;
--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -122,6 +122,9 @@
             Event::Members { kind, .. } if self.freshness.record_update(now, kind) => {
                 self.schedule_subscribe(out)
             }
+            Event::Members { kind: ListKind::Superseded, members } => {
+                self.on_superseded_members(now, &members, out)
+            }
             Event::Members { kind, members } => self.on_members(now, kind, &members, out),
             Event::LearnedState(learned) => self.restore_learned_state(*learned),
             Event::Maintenance(backend, in_maintenance) => {
@@ -188,34 +191,8 @@
         }
     }
 
-    /// Applies an endpoint update. A backend that a snapshot leaves out is gone.
-    fn on_members(&mut self, now: Micros, kind: ListKind, members: &[Member], out: &mut Vec<Action>) {
-        self.subscribe_calls_since_update = 0;
-        if kind == ListKind::Full {
-            self.backends.iter_mut().for_each(|b| b.member.state = MemberState::Gone);
-        }
-        // The first endpoints are trusted, as nothing else is known. Later ones must answer to be verified.
-        let verified_count = if self.backends.is_empty() { usize::MAX } else { self.backends.len() };
-        for member in members {
-            let i = self.upsert_member(member, now);
-            self.backends[i].unverified |= i >= verified_count;
-        }
-        self.listed_at = Some(now);
-        // Where a removal need not be obeyed, the backend is verified by a trial, unless it serves us.
-        for i in self.update_not_ready(now) {
-            self.backends[i].unverified |= self.backends[i].established.is_empty();
-        }
-        (0..self.backends.len()).for_each(|i| self.schedule_moves(i, out));
-        self.table_stale |= (0..self.backends.len()).any(|i| self.table_entry_changed(i, now));
-        let weight = |i: usize| if self.settings.live_weights { 1.0 } else { self.weight(i) };
-        let capacity: f64 = self.ready().map(weight).sum();
-        if capacity > 0.0 {
-            self.admission.scale(capacity);
-        }
-    }
-
     /// Special case "leaving": guards against a backend that stops under its clients. Each is moved once.
-    fn schedule_moves(&mut self, i: usize, out: &mut Vec<Action>) {
+    pub(crate) fn schedule_moves(&mut self, i: usize, out: &mut Vec<Action>) {
         if self.excluded(i) && self.queue_moves(i) {
             let delay = if self.is_large_fleet() { self.rng.u64(0..=MOVE_JITTER_US) } else { MOVE_PERIOD_US };
             out.push(Action::Timer(delay, TIMER_MOVES));
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -150,7 +150,12 @@
     /// Estimates when a newly reported process started, by the clock of this proxy. The reported time may
     /// come from another clock, and either clock may be wrong. The process started before now, and not before
     /// the update that did not report it yet. A restart observed before it was reported is the same one.
-    fn estimate_start(&mut self, reported: Micros, now: Micros, listed_at: Option<Micros>) -> Micros {
+    pub(crate) fn estimate_start(
+        &mut self,
+        reported: Micros,
+        now: Micros,
+        listed_at: Option<Micros>,
+    ) -> Micros {
         let earliest = if std::mem::take(&mut self.restart_observed) { None } else { listed_at };
         reported.max(earliest.unwrap_or(0).saturating_sub(MAX_START_REPORT_DELAY_US)).min(now)
     }
--- a/crates/decision/tests/freshness.rs
+++ b/crates/decision/tests/freshness.rs
@@ -145,3 +145,59 @@
     driver.now = 100 * S + MAX_AGE;
     assert!(refused(&driver.request(1)));
 }
+
+/// An entry of a backend of [`members`], with that state and start.
+fn entry(i: usize, state: MemberState, started: Micros) -> Member {
+    Member { state, started, ..members(2)[i].clone() }
+}
+
+/// Guards against an earlier discovery service that brings a backend back, renews the endpoints, or ends the time
+/// in which the responsible service counts as unreachable.
+#[test]
+fn a_superseded_discovery_service_only_takes_backends_away() {
+    let mut driver = new_driver();
+    driver.list(ListKind::DiscoveryMoved, Vec::new());
+    failed_call(&mut driver, ListKind::Unreachable);
+    driver.now += S;
+    driver.list(ListKind::Superseded, vec![entry(0, MemberState::Draining, 0)]);
+    driver.list(ListKind::Superseded, vec![entry(0, MemberState::Ready, 0)]);
+    (1..=8).for_each(|id| assert_eq!(driver.connect(id), members(2)[1].backend));
+    driver.list(ListKind::Superseded, vec![entry(1, MemberState::Gone, 0)]);
+    assert!(refused(&driver.request(9)), "both have left");
+    driver.list(ListKind::Superseded, vec![entry(1, MemberState::Ready, 0)]);
+    assert!(refused(&driver.request(10)), "neither is back");
+    failed_call(&mut driver, ListKind::Unreachable);
+    driver.list(ListKind::Full, members(2));
+    assert!(sent(&driver.request(11)).is_some());
+}
+
+/// Guards against endpoints that count as confirmed by a service that is no longer responsible, and against time
+/// without reach that counts because such a service still answers.
+#[test]
+fn a_superseded_discovery_service_does_not_renew_the_endpoints() {
+    let mut driver = new_driver();
+    driver.list(ListKind::DiscoveryMoved, Vec::new());
+    failed_call(&mut driver, ListKind::Unreachable);
+    driver.now += 2 * S;
+    driver.list(ListKind::Superseded, vec![entry(0, MemberState::Draining, 0)]);
+    failed_call(&mut driver, ListKind::Unreachable);
+    // Two of the seconds passed between two calls in a row that did not reach the responsible service.
+    driver.now += MAX_AGE_AFTER_MOVE - 1;
+    assert!(sent(&driver.request(1)).is_some());
+    driver.now += 1;
+    driver.list(ListKind::Superseded, vec![entry(0, MemberState::Gone, 0)]);
+    assert!(refused(&driver.request(2)));
+}
+
+/// Guards against a backend in slow start that is taken for a warm one because an earlier service reported its
+/// start. Its failures stay, as the report says nothing of its health.
+#[test]
+fn a_restart_that_a_superseded_discovery_service_reports_begins_a_slow_start() {
+    let settings = Settings { sized_weights: true, ..settings_with_max_age() };
+    let mut driver = Driver::new(settings, 2);
+    driver.list(ListKind::DiscoveryMoved, Vec::new());
+    let started = driver.now;
+    driver.list(ListKind::Superseded, vec![entry(0, MemberState::Ready, started)]);
+    let to_restarted = (1..=20).filter(|&id| driver.connect(id) == members(2)[0].backend).count();
+    assert!(to_restarted < 5, "{to_restarted} of 20 reach the backend in slow start");
+}
--- a/crates/pierloom/tests/discovery_moves.rs
+++ b/crates/pierloom/tests/discovery_moves.rs
@@ -1,12 +1,13 @@
 //! SIGHUP moves a proxy to other discovery addresses, there and back. An address that is named again belongs
-//! to a new discovery service: what the proxy asked there before is no answer of it.
+//! to a new discovery service: what the proxy asked there before is no answer of it. What an earlier service
+//! still reports binds where a backend leaves, and never where one is back.
 
 #![allow(clippy::disallowed_types, clippy::disallowed_methods)] // peers of the real program, on real sockets
 
 #[allow(dead_code)] // each test program uses a part of the harness
 mod harness;
 
-use harness::{Backend, Discovery, EVENT_TIMEOUT, Folder, Proxy, SETTINGS};
+use harness::{Backend, Discovery, EVENT_TIMEOUT, Folder, Peer, Proxy, SETTINGS, poll_until};
 use std::thread;
 use std::time::Duration;
 
@@ -87,3 +88,148 @@
     let first_of_successor = std::iter::repeat_with(calls).find(|call| call.connection == 2).unwrap();
     assert_eq!(first_of_successor.from_index, 0);
 }
+
+/// A proxy that holds a connection at the first of two backends and was then moved to a discovery service that
+/// does not answer yet.
+struct MovedProxy {
+    proxy: Proxy,
+    earlier: Discovery,
+    client: Peer,
+    _at_backend: Peer,
+}
+
+impl MovedProxy {
+    fn start(name: &str, settings: &str, backends: &[Backend; 2]) -> Self {
+        let entries = backends.each_ref().map(|backend| backend.entry("ready"));
+        let mut proxy = Proxy::start_with_settings(name, 1024, &entries, settings);
+        assert_eq!(proxy.discovery.calls.recv_timeout(EVENT_TIMEOUT).unwrap().from_index, 1);
+        let (client, at_backend) = establish_at(&proxy, &backends[0], backends, "a");
+        let next = Discovery::listing(&entries);
+        next.set_queue_delay(EVENT_TIMEOUT);
+        let earlier = proxy.reload_with_discovery(next);
+        proxy.discovery.wait_until_connected();
+        MovedProxy { proxy, earlier, client, _at_backend: at_backend }
+    }
+}
+
+/// Establishes a connection every 50 ms until one is at `wanted`, and returns that one. The others stay open
+/// meanwhile, so that the load of their backend grows.
+fn establish_at(proxy: &Proxy, wanted: &Backend, backends: &[Backend; 2], key: &str) -> (Peer, Peer) {
+    let mut others = Vec::new();
+    loop {
+        let mut client = proxy.send_request(&format!("{key}{}", others.len()));
+        let attempt =
+            || backends.iter().find_map(|backend| Some((backend.name, backend.try_accept_first_line()?.0)));
+        let (name, mut at_backend) = poll_until(attempt).expect("an attempt");
+        at_backend.send("UP r1\r\n");
+        assert_eq!(client.line(), "UP r1\r\n");
+        if name == wanted.name {
+            return (client, at_backend);
+        }
+        others.push((client, at_backend));
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Establishes connections, which must all reach the second backend. They stay open meanwhile, so that a proxy
+/// that may use the first one too prefers it.
+fn assert_all_reach_second(proxy: &Proxy, backends: &[Backend; 2]) {
+    let connections: Vec<_> = (0..8).map(|n| proxy.establish(&format!("k{n}"), &backends[1])).collect();
+    assert!(backends[0].has_no_new_connection());
+    drop(connections);
+}
+
+const MODES: [&str; 2] = ["ask", "push"];
+
+fn settings_with_mode(mode: &str) -> String {
+    SETTINGS.replace("\"ask\"", &format!("\"{mode}\""))
+}
+
+// Guards against connections to a backend that discovery reported as leaving, in a whole list of an earlier
+// service: as draining, or by leaving it out.
+#[test]
+fn a_backend_that_leaves_in_a_late_whole_list_gets_nothing_new() {
+    for (mode, status) in MODES.iter().flat_map(|mode| ["draining", "gone"].map(|status| (mode, status))) {
+        let backends = [Backend::new("n0"), Backend::new("n1")];
+        let mut moved = MovedProxy::start("late-list", &settings_with_mode(mode), &backends);
+        moved.earlier.answer_whole_lists();
+        moved.earlier.publish(&backends[0].entry(status));
+        let moved_within = moved.client.line_within(Duration::from_secs(2));
+        assert_eq!(moved_within.as_deref(), Some("MOVE\r\n"), "{mode}, {status}");
+        assert_all_reach_second(&moved.proxy, &backends);
+    }
+}
+
+// Guards against a lost word of a service that the proxy has left before it answered at all: moved twice, the
+// proxy gets the whole list of the second address while the third has not answered.
+#[test]
+fn the_whole_list_of_a_service_in_between_tells_which_backends_leave() {
+    for mode in MODES {
+        let backends = [Backend::new("n0"), Backend::new("n1")];
+        let entries = backends.each_ref().map(|backend| backend.entry("ready"));
+        let mut proxy = Proxy::start_with_settings("between", 1024, &entries, &settings_with_mode(mode));
+        assert_eq!(proxy.discovery.calls.recv_timeout(EVENT_TIMEOUT).unwrap().from_index, 1);
+        let (mut client, _at_backend) = establish_at(&proxy, &backends[0], &backends, "a");
+        let between = Discovery::listing(&[backends[0].entry("draining"), backends[1].entry("ready")]);
+        between.set_queue_delay(QUEUE_DELAY);
+        let _first = proxy.reload_with_discovery(between);
+        proxy.discovery.wait_until_connected();
+        let last = Discovery::listing(&entries);
+        last.set_queue_delay(EVENT_TIMEOUT);
+        let _between = proxy.reload_with_discovery(last);
+        let moved_within = client.line_within(QUEUE_DELAY + Duration::from_secs(1));
+        assert_eq!(moved_within.as_deref(), Some("MOVE\r\n"), "{mode}");
+        assert_all_reach_second(&proxy, &backends);
+    }
+}
+
+// Guards against a late answer that brings a backend back, as changes or as a whole list. Only the responsible
+// service can say that.
+#[test]
+fn a_late_answer_brings_no_backend_back() {
+    let forms: [fn(&Discovery); 2] = [|_| {}, Discovery::answer_whole_lists];
+    for (mode, form) in MODES.iter().flat_map(|mode| forms.map(|form| (mode, form))) {
+        let backends = [Backend::new("n0"), Backend::new("n1")];
+        let mut moved = MovedProxy::start("not-back", &settings_with_mode(mode), &backends);
+        let wait_for_call = |from_index| {
+            let calls = || moved.earlier.calls.recv_timeout(EVENT_TIMEOUT).expect("a call");
+            std::iter::repeat_with(calls).find(|call| call.from_index == from_index)
+        };
+        form(&moved.earlier);
+        moved.earlier.publish(&backends[0].entry("draining"));
+        wait_for_call(2);
+        moved.earlier.publish(&backends[0].entry("ready"));
+        wait_for_call(3);
+        assert_all_reach_second(&moved.proxy, &backends);
+        // The word binds until the responsible service answers.
+        let next = Discovery::listing(&backends.each_ref().map(|backend| backend.entry("ready")));
+        let _silent = moved.proxy.reload_with_discovery(next);
+        establish_at(&moved.proxy, &backends[0], &backends, "b");
+    }
+}
+
+// Guards against a list that brings a backend back though it is older than the word that the backend leaves: the
+// responsible service was asked before, and answers after, an earlier service reported the drain.
+#[test]
+fn a_list_asked_for_before_a_backend_left_does_not_bring_it_back() {
+    for mode in MODES {
+        let backends = [Backend::new("n0"), Backend::new("n1")];
+        let entries = backends.each_ref().map(|backend| backend.entry("ready"));
+        let mut proxy = Proxy::start_with_settings("asked-before", 1024, &entries, &settings_with_mode(mode));
+        assert_eq!(proxy.discovery.calls.recv_timeout(EVENT_TIMEOUT).unwrap().from_index, 1);
+        let (mut client, _at_backend) = establish_at(&proxy, &backends[0], &backends, "a");
+        let next = Discovery::listing(&entries);
+        next.leave_unanswered_below(1);
+        let earlier = proxy.reload_with_discovery(next);
+        assert_eq!(proxy.discovery.calls.recv_timeout(EVENT_TIMEOUT).unwrap().from_index, 0);
+        earlier.publish(&backends[0].entry("draining"));
+        assert_eq!(client.line(), "MOVE\r\n", "{mode}");
+        // The list arrives, and nothing after it.
+        proxy.discovery.answer_old_connections_only();
+        assert_eq!(proxy.discovery.calls.recv_timeout(EVENT_TIMEOUT).unwrap().from_index, 1);
+        assert_all_reach_second(&proxy, &backends);
+        // The next answer settles that the backend is back.
+        proxy.discovery.fail_calls(0);
+        establish_at(&proxy, &backends[0], &backends, "b");
+    }
+}
--- a/crates/pierloom/tests/harness/discovery.rs
+++ b/crates/pierloom/tests/harness/discovery.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the discovery service.
 
 use super::{EVENT_TIMEOUT, Peer, poll_until};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
@@ -25,6 +25,8 @@
     failures: u32,
     /// Answers that are sent unchanged. The connection is closed after each.
     raw_answers: VecDeque<String>,
+    /// Every answer holds the whole list, also one to a watch.
+    answers_whole_lists: bool,
     /// Number of connections accepted so far.
     accepted: usize,
     /// Calls on connections below this number get no answer.
@@ -48,6 +50,19 @@
         self.accepted = connection + 1;
         self.queue_delay
     }
+
+    /// The newest entry of each backend, without those that are gone.
+    fn whole_list(&self) -> Vec<&str> {
+        let name = |entry: &str| entry.split("\"name\":\"").nth(1)?.split('"').next().map(String::from);
+        let newest: BTreeMap<_, _> = self.updates.iter().map(|(_, entry)| (name(entry), &**entry)).collect();
+        newest.into_values().filter(|entry| !entry.contains("\"status\":\"gone\"")).collect()
+    }
+
+    /// The entries that are newer than an index.
+    fn changes_since(&self, from_index: u64) -> Vec<&str> {
+        let newer = self.updates.iter().filter(|(index, _)| *index > from_index);
+        newer.map(|(_, entry)| entry.as_str()).collect()
+    }
 }
 
 /// A stand-in for the discovery service.
@@ -109,6 +124,11 @@
         state.unanswered_below = state.accepted;
     }
 
+    /// Sends no answers on the connections below that number, whether or not they have been accepted.
+    pub fn leave_unanswered_below(&self, first_answered: usize) {
+        self.state.0.lock().unwrap().unanswered_below = first_answered;
+    }
+
     /// Answers again on the connections that `stop_answering` silenced; calls on all others fail.
     pub fn answer_old_connections_only(&self) {
         let mut state = self.state.0.lock().unwrap();
@@ -133,6 +153,11 @@
         self.state.0.lock().unwrap().queue_delay = queue_delay;
     }
 
+    /// Answers watches with the whole list too, in place of its changes.
+    pub fn answer_whole_lists(&self) {
+        self.state.0.lock().unwrap().answers_whole_lists = true;
+    }
+
     /// Fails that many calls, the waiting one included.
     pub fn fail_calls(&self, calls: u32) {
         self.state.0.lock().unwrap().failures = calls;
@@ -218,10 +243,9 @@
     if let Some(text) = state.raw_answers.pop_front() {
         return (text, true);
     }
-    let updates =
-        state.updates.iter().filter(|(index, _)| *index > from_index).map(|(_, entry)| entry.as_str());
-    let entries = updates.collect::<Vec<_>>().join(",");
-    let (index, is_snapshot) = (state.index, from_index == 0);
+    let (index, is_snapshot) = (state.index, from_index == 0 || state.answers_whole_lists);
+    let entries = if is_snapshot { state.whole_list() } else { state.changes_since(from_index) };
+    let entries = entries.join(",");
     let body = format!(r#"{{"index":{index},"snapshot":{is_snapshot},"endpoints":[{entries}]}}"#);
     (http_response(&body, body.len()), false)
 }
--- a/crates/proxy/src/event_counts.rs
+++ b/crates/proxy/src/event_counts.rs
@@ -85,6 +85,7 @@
                 let name = match kind {
                     ListKind::Full => "lists_whole",
                     ListKind::Delta => "lists_changed",
+                    ListKind::Superseded => "lists_superseded",
                     ListKind::Failed => "lists_failed",
                     ListKind::Unreachable => "lists_unreached",
                     ListKind::DiscoveryMoved => "lists_moved",
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -1,9 +1,10 @@
 //! The watch of the discovery service: asks for the endpoint list, then for its changes.
 
+use super::departures::Departures;
 use super::discovery_call::{
-    CallError, CallResponse, LateCalls, PendingCall, RequestSender, WATCH_HOLD_MS, call_discovery,
+    CallError, CallResponse, LateCalls, PendingCall, Query, RequestSender, WATCH_HOLD_MS, call_discovery,
 };
-use super::endpoints::{Endpoints, apply_endpoints};
+use super::endpoints::{Endpoints, apply_endpoints, apply_superseded_endpoints};
 use super::service::DiscoveryService;
 use crate::core::Core;
 use pierloom_decision::{Event, ListKind, Micros};
@@ -46,12 +47,20 @@
     /// The last index received; `None` before the first response of this service, which has to be a whole list.
     from_index: Option<u64>,
     kept_sender: Option<RequestSender>,
+    /// What earlier services have reported since this one became responsible.
+    departures: Departures,
 }
 
 impl ServiceWatch {
+    /// What the next call asks for. A call that has to settle whether backends are back is not held.
+    fn next_query(&self) -> Query {
+        let hold_ms = if self.departures.are_unsettled() { 0 } else { WATCH_HOLD_MS };
+        Query { service: self.service, from_index: self.from_index, hold_ms }
+    }
+
     /// The watch of a service that has sent nothing yet.
     fn new(service: DiscoveryService) -> Self {
-        ServiceWatch { service, from_index: None, kept_sender: None }
+        ServiceWatch { service, from_index: None, kept_sender: None, departures: Departures::default() }
     }
 }
 
@@ -121,7 +130,9 @@
 
 impl<'a> Watcher<'a> {
     /// Applies a response of the responsible service.
-    fn apply_response(&mut self, CallResponse { update, is_snapshot, sender, .. }: CallResponse) {
+    fn apply_response(&mut self, response: CallResponse) {
+        let CallResponse { mut update, is_snapshot, asked_at, sender, .. } = response;
+        self.current.departures.settle(&mut update, &self.endpoints.borrow(), asked_at, is_snapshot);
         (self.current.from_index, self.current.kept_sender) = (Some(update.index()), Some(sender));
         self.late_calls = LateCalls::default();
         self.endpoints.borrow_mut().set_index_source(Some(self.current.service.address()));
@@ -134,20 +145,19 @@
         );
     }
 
-    /// Handles the response to a late call, and returns it if it is from the responsible service. An earlier
-    /// service is watched further while it still answers, until the responsible one answers.
+    /// Handles the response to a late call, and returns it if it is from the responsible service. Of an earlier
+    /// service's response only that counts which restricts the use of a backend. That service is watched further
+    /// while it still answers, until the responsible one answers.
     fn handle_late(&mut self, response: CallResponse) -> Option<CallResponse> {
         if response.service == self.current.service {
             return Some(response);
         }
-        let CallResponse { update, is_snapshot, service, sender } = response;
-        let (core, index) = (self.core, update.index());
-        // A snapshot of an earlier service would be taken for the responsible one's.
-        if is_snapshot {
-            return None;
-        }
-        apply_endpoints(core, self.names, self.endpoints, update, ListKind::Delta);
-        let next_call = Box::pin(call_discovery(core, Some(sender), service, Some(index)));
+        let CallResponse { update, is_snapshot, service, sender, .. } = response;
+        let core = self.core;
+        let leaving = apply_superseded_endpoints(core, self.names, self.endpoints, &update, is_snapshot);
+        self.current.departures.record(leaving.iter().map(String::as_str), core.now());
+        let query = Query { service, from_index: Some(update.index()), hold_ms: WATCH_HOLD_MS };
+        let next_call = Box::pin(call_discovery(core, Some(sender), query));
         self.late_calls.0.push((core.now(), next_call));
         None
     }
@@ -159,7 +169,7 @@
         let timeout =
             if open_sender.is_some() { WATCH_HOLD_MS * 1_000 + HOLD_SLACK_US } else { WATCH_OPEN_TIMEOUT_US };
         let mut pending_call: PendingCall<'a> =
-            Box::pin(call_discovery(core, open_sender, self.current.service, self.current.from_index));
+            Box::pin(call_discovery(core, open_sender, self.current.next_query()));
         let mut timed_out = pin!(core.deadlines.until(started_at + timeout));
         let outcome = loop {
             tokio::select! {
--- a/crates/proxy/src/source/discovery_call.rs
+++ b/crates/proxy/src/source/discovery_call.rs
@@ -60,6 +60,8 @@
     pub update: EndpointsResponse,
     pub is_snapshot: bool,
     pub service: DiscoveryService,
+    /// When the call was sent; the response was made after that.
+    pub asked_at: Micros,
     pub sender: RequestSender,
 }
 
@@ -85,17 +87,26 @@
     Ok(sender)
 }
 
-/// Makes one call on the kept connection, or on a new one. With an index the call asks for the changes since
-/// that index, without one it asks for a snapshot. Discovery holds a call that continues a watch on a kept
-/// connection. The call that opens a watch is not held: it is answered as soon as it reaches the head of
+/// What a call asks for.
+#[derive(Clone, Copy)]
+pub struct Query {
+    /// The service that is asked.
+    pub service: DiscoveryService,
+    /// The changes since that index; `None` for a snapshot.
+    pub from_index: Option<u64>,
+    /// How long a call that continues a watch may wait for changes, in milliseconds.
+    pub hold_ms: u64,
+}
+
+/// Makes one call on the kept connection, or on a new one. Discovery holds a call that continues a watch on a
+/// kept connection. The call that opens a watch is not held: it is answered as soon as it reaches the head of
 /// discovery's queue, so that only the calls of other proxies delay it.
 pub async fn call_discovery(
     core: &Core,
     kept_sender: Option<RequestSender>,
-    service: DiscoveryService,
-    from_index: Option<u64>,
+    Query { service, from_index, hold_ms }: Query,
 ) -> Result<CallResponse, CallError> {
-    let hold_ms = if kept_sender.is_some() { WATCH_HOLD_MS } else { 0 };
+    let hold_ms = if kept_sender.is_some() { hold_ms } else { 0 };
     let mut sender = match kept_sender {
         Some(sender) => sender,
         None => connect(core, service.address()).await?,
@@ -106,6 +117,7 @@
         .header(HOST, service.address().to_string())
         .body(Empty::new())
         .map_err(|e| CallError::at_stage("request not sent", e))?;
+    let asked_at = core.now();
     let response = sender.send_request(request).await.map_err(|e| CallError::at_stage("no response", e))?;
     let status = response.status();
     let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
@@ -121,7 +133,7 @@
         // If all backends left at once, discovery would report each of them as gone.
         return Err(CallError::at_stage("response", "snapshot without endpoints"));
     }
-    Ok(CallResponse { update, is_snapshot, service, sender })
+    Ok(CallResponse { update, is_snapshot, service, asked_at, sender })
 }
 
 /// Calls that timed out or went to an earlier discovery service, and may still be answered, each with its start
--- a/crates/proxy/src/source/endpoints.rs
+++ b/crates/proxy/src/source/endpoints.rs
@@ -6,14 +6,14 @@
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Upper limit of a backend's weight; a larger reported weight is lowered to it. No backend is larger than
 /// this many of the smallest backends.
 const MAX_WEIGHT: f64 = 1e6;
 
-#[derive(Clone, Copy, Deserialize, Serialize)]
+#[derive(Clone, Copy, Deserialize, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
 enum Status {
     Ready,
@@ -87,6 +87,16 @@
 }
 
 impl Endpoint {
+    /// Name of the backend.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Whether the backend drains or is gone.
+    fn leaves(&self) -> bool {
+        self.status != Status::Ready
+    }
+
     fn to_member(&self, names: &NameIndex) -> Member {
         Member {
             backend: self.name.as_str().into(),
@@ -122,14 +132,58 @@
             self.endpoints.clear();
         }
         self.index = update.index;
-        for endpoint in &update.endpoints {
-            match endpoint.status {
-                Status::Gone => self.endpoints.remove(&endpoint.name),
-                _ => self.endpoints.insert(endpoint.name.clone(), endpoint.clone()),
-            };
+        update.endpoints.iter().for_each(|endpoint| self.apply_entry(endpoint));
+    }
+
+    /// Applies one entry.
+    fn apply_entry(&mut self, endpoint: &Endpoint) {
+        match endpoint.status {
+            Status::Gone => self.endpoints.remove(&endpoint.name),
+            _ => self.endpoints.insert(endpoint.name.clone(), endpoint.clone()),
+        };
+    }
+
+    /// Applies what an earlier discovery service reported, and returns the entries that bind: backends that
+    /// leave, by their status or because a snapshot leaves them out, and later starts. All else waits for the
+    /// responsible service, whose index stays as it is.
+    fn apply_superseded(&mut self, update: &EndpointsResponse, is_snapshot: bool) -> Vec<Endpoint> {
+        let mut binding: Vec<Endpoint> =
+            update.endpoints.iter().filter_map(|reported| self.binding_part(reported)).collect();
+        if is_snapshot {
+            binding.extend(self.left_out_of(update));
+        }
+        binding.iter().for_each(|endpoint| self.apply_entry(endpoint));
+        binding
+    }
+
+    /// The entry of a backend, unless it is gone.
+    pub fn get(&self, backend: &str) -> Option<&Endpoint> {
+        self.endpoints.get(backend)
+    }
+
+    /// The part of an entry of an earlier discovery service that binds and is not known yet.
+    fn binding_part(&self, reported: &Endpoint) -> Option<Endpoint> {
+        let known = self.get(&reported.name);
+        match reported.status {
+            Status::Gone => known.map(|_| reported.clone()),
+            Status::Draining => {
+                let is_known = known.is_some_and(|known| known.status == Status::Draining);
+                (!is_known).then(|| reported.clone())
+            }
+            Status::Ready => known
+                .filter(|known| reported.since_ms > known.since_ms)
+                .map(|known| Endpoint { since_ms: reported.since_ms, ..known.clone() }),
         }
     }
 
+    /// The known backends that a snapshot does not name, as backends that are gone.
+    fn left_out_of(&self, snapshot: &EndpointsResponse) -> Vec<Endpoint> {
+        let valid = snapshot.endpoints.iter().map(|endpoint| endpoint.name.as_str());
+        let named: BTreeSet<&str> = valid.chain(snapshot.invalid.iter().map(String::as_str)).collect();
+        let left_out = self.endpoints.values().filter(|known| !named.contains(known.name.as_str()));
+        left_out.map(|known| Endpoint { status: Status::Gone, ..known.clone() }).collect()
+    }
+
     /// The index from which the service at `address` can be watched, if that service has sent its list.
     pub fn index_at(&self, address: SocketAddr) -> Option<u64> {
         (self.index_source == Some(address)).then_some(self.index)
@@ -181,6 +235,30 @@
     core.dispatch_event(Event::Members { kind, members });
 }
 
+/// Passes what an earlier discovery service reported to the core, as far as it binds. Addresses stay as the
+/// responsible service reported them. Returns the names of the backends that leave.
+pub fn apply_superseded_endpoints(
+    core: &Core,
+    names: &NameIndex,
+    endpoints: &RefCell<Endpoints>,
+    update: &EndpointsResponse,
+    is_snapshot: bool,
+) -> Vec<String> {
+    let binding = endpoints.borrow_mut().apply_superseded(update, is_snapshot);
+    if binding.is_empty() {
+        return Vec::new();
+    }
+    let backends: Vec<&str> = binding.iter().map(|endpoint| endpoint.name.as_str()).collect();
+    tracing::info!(
+        target: "machine_list",
+        "a discovery service that is no longer responsible reported that backends leave or have restarted: {}",
+        backends.join(" ")
+    );
+    let members = binding.iter().map(|endpoint| endpoint.to_member(names)).collect();
+    core.dispatch_event(Event::Members { kind: ListKind::Superseded, members });
+    binding.into_iter().filter(Endpoint::leaves).map(|endpoint| endpoint.name).collect()
+}
+
 impl EndpointsResponse {
     /// The index from which to watch.
     pub fn index(&self) -> u64 {
@@ -192,6 +270,18 @@
         self.snapshot
     }
 
+    /// Adds entries of backends that the response does not name.
+    pub fn add_unnamed(&mut self, entries: impl Iterator<Item = Endpoint>) {
+        let valid = self.endpoints.iter().map(|endpoint| endpoint.name.clone());
+        let named: BTreeSet<String> = valid.chain(self.invalid.iter().cloned()).collect();
+        self.endpoints.extend(entries.filter(|entry| !named.contains(&entry.name)));
+    }
+
+    /// Removes and returns the entries of ready backends that `selects` returns true for.
+    pub fn take_ready(&mut self, selects: impl Fn(&Endpoint) -> bool) -> Vec<Endpoint> {
+        self.endpoints.extract_if(.., |entry| !entry.leaves() && selects(entry)).collect()
+    }
+
     /// Whether the response names no backend with a valid entry.
     pub fn is_empty(&self) -> bool {
         self.endpoints.is_empty()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -464,7 +464,10 @@
                 _ => return Err(fields.invalid_value("mode", mode)),
             };
             let list_number = match kind {
-                ListKind::Failed | ListKind::Unreachable | ListKind::DiscoveryMoved => None,
+                ListKind::Failed
+                | ListKind::Unreachable
+                | ListKind::DiscoveryMoved
+                | ListKind::Superseded => None,
                 _ => Some(list.parse().map_err(|_| fields.invalid_value("list", list))?),
             };
             fields.finish(Line::ListChange(kind, list_number))
