Late answers that arrive in the same moment are all obeyed

What callers saw: nothing that was reported; found by reading the code round the fault before. Where two calls that the proxy had left behind were answered while its process was held up, all that one of the answers said was lost, as that a backend drains.

Cause: one pass polled all late calls and kept the first answer; a second one that was ready in the same pass was taken off the list and dropped.

Fix: the pass stops at the first answer. The other calls stay and are polled at the next turn.

Test: late_answers_that_arrive_together_are_all_obeyed, with a process that is suspended while both answers arrive; without the fix one of the two clients was not moved within 2 s.

--- a/crates/pierloom/tests/discovery_moves.rs
+++ b/crates/pierloom/tests/discovery_moves.rs
@@ -233,3 +233,30 @@
         establish_at(&proxy, &backends[0], &backends, "b");
     }
 }
+
+// Guards against a late answer that is lost because another one has arrived at the same moment.
+#[test]
+fn late_answers_that_arrive_together_are_all_obeyed() {
+    let backends = [Backend::new("n0"), Backend::new("n1")];
+    let entries = backends.each_ref().map(|backend| backend.entry("ready"));
+    let mut proxy = Proxy::start_with_settings("together", 1024, &entries, SETTINGS);
+    assert_eq!(proxy.discovery.calls.recv_timeout(EVENT_TIMEOUT).unwrap().from_index, 1);
+    let clients = backends.each_ref().map(|backend| establish_at(&proxy, backend, &backends, backend.name));
+    let services = [0, 1].map(|_| {
+        let next = Discovery::listing(&entries);
+        next.leave_unanswered_below(1);
+        let earlier = proxy.reload_with_discovery(next);
+        proxy.discovery.wait_until_connected();
+        earlier
+    });
+    assert_eq!(services[1].calls.recv_timeout(EVENT_TIMEOUT).unwrap().from_index, 0);
+    proxy.suspend();
+    services[0].publish(&backends[0].entry("draining"));
+    services[1].publish(&backends[1].entry("draining"));
+    services[1].answer_old_connections_only();
+    thread::sleep(Duration::from_millis(100));
+    proxy.resume();
+    for (mut client, _at_backend) in clients {
+        assert_eq!(client.line_within(Duration::from_secs(2)).as_deref(), Some("MOVE\r\n"));
+    }
+}
--- a/crates/proxy/src/source/discovery_call.rs
+++ b/crates/proxy/src/source/discovery_call.rs
@@ -142,15 +142,21 @@
 pub struct LateCalls<'a>(pub Vec<(Micros, PendingCall<'a>)>);
 
 impl LateCalls<'_> {
-    /// Waits for the first response, and drops the calls that fail. Waits forever if there are no calls.
+    /// Waits for the first response, and drops the calls that fail. Waits forever if there are no calls. Of
+    /// several responses that have arrived, each call of this method returns one.
     pub async fn next_response(&mut self) -> CallResponse {
         poll_fn(|context| {
             let mut response = None;
-            self.0.retain_mut(|(_, pending_call)| match pending_call.as_mut().poll(context) {
-                Poll::Pending => true,
-                Poll::Ready(result) => {
-                    response = response.take().or(result.ok());
-                    false
+            self.0.retain_mut(|(_, pending_call)| {
+                if response.is_some() {
+                    return true;
+                }
+                match pending_call.as_mut().poll(context) {
+                    Poll::Pending => true,
+                    Poll::Ready(result) => {
+                        response = result.ok();
+                        false
+                    }
                 }
             });
             response.take().map_or(Poll::Pending, Poll::Ready)
