--- a/crates/proxy/src/source/departures.rs
+++ b/crates/proxy/src/source/departures.rs
@@ -35,6 +35,10 @@
         asked_at: Micros,
         is_snapshot: bool,
     ) {
+        // An entry is withheld only for a report.
+        if self.reported_at.is_empty() {
+            return;
+        }
         let withheld = std::mem::take(&mut self.unsettled);
         if !is_snapshot {
             response.add_unnamed(withheld.into_values());
