A repeated word that a backend leaves counts anew; an unreadable entry does not keep it away

A drain that an earlier service repeats now counts from the repetition, so that a list asked for in between does not bring the backend back. And where the answer that settles a backend's return has an entry of it that cannot be read, the entry of the list before holds, as for any other backend; the backend stayed away until its next change. The unit test of Departures fails without the second part.

--- a/crates/proxy/src/source/departures.rs
+++ b/crates/proxy/src/source/departures.rs
@@ -17,8 +17,8 @@
 
 impl Departures {
     /// Records that an earlier service reported these backends as leaving.
-    pub fn record<'a>(&mut self, backends: impl Iterator<Item = &'a str>, now: Micros) {
-        self.reported_at.extend(backends.map(|backend| (backend.to_string(), now)));
+    pub fn record(&mut self, backends: Vec<String>, now: Micros) {
+        self.reported_at.extend(backends.into_iter().map(|backend| (backend, now)));
     }
 
     /// Whether a further response of the responsible service has to settle whether a backend is back.
@@ -41,13 +41,13 @@
         }
         let withheld = std::mem::take(&mut self.unsettled);
         if !is_snapshot {
-            response.add_unnamed(withheld.into_values());
+            response.add_missing(withheld.into_values());
         }
         let reported_at = &self.reported_at;
         let may_be_older = |entry: &Endpoint| reported_at.get(entry.name()).is_some_and(|&at| asked_at <= at);
         let older = response.take_ready(may_be_older);
         if is_snapshot {
-            response.add_unnamed(older.iter().filter_map(|entry| known.get(entry.name()).cloned()));
+            response.add_missing(older.iter().filter_map(|entry| known.get(entry.name()).cloned()));
         }
         self.unsettled = older.into_iter().map(|entry| (entry.name().to_string(), entry)).collect();
         if self.unsettled.is_empty() {
@@ -55,3 +55,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/src/source/discovery.rs
+++ b/crates/proxy/src/source/discovery.rs
@@ -155,7 +155,7 @@
         let CallResponse { update, is_snapshot, service, sender, .. } = response;
         let core = self.core;
         let leaving = apply_superseded_endpoints(core, self.names, self.endpoints, &update, is_snapshot);
-        self.current.departures.record(leaving.iter().map(String::as_str), core.now());
+        self.current.departures.record(leaving, core.now());
         let query = Query { service, from_index: Some(update.index()), hold_ms: WATCH_HOLD_MS };
         let next_call = Box::pin(call_discovery(core, Some(sender), query));
         self.late_calls.0.push((core.now(), next_call));
--- a/crates/proxy/src/source/endpoints.rs
+++ b/crates/proxy/src/source/endpoints.rs
@@ -178,7 +178,7 @@
 
     /// The known backends that a snapshot does not name, as backends that are gone.
     fn left_out_of(&self, snapshot: &EndpointsResponse) -> Vec<Endpoint> {
-        let valid = snapshot.endpoints.iter().map(|endpoint| endpoint.name.as_str());
+        let valid = snapshot.entries().map(Endpoint::name);
         let named: BTreeSet<&str> = valid.chain(snapshot.invalid.iter().map(String::as_str)).collect();
         let left_out = self.endpoints.values().filter(|known| !named.contains(known.name.as_str()));
         left_out.map(|known| Endpoint { status: Status::Gone, ..known.clone() }).collect()
@@ -235,8 +235,8 @@
     core.dispatch_event(Event::Members { kind, members });
 }
 
-/// Passes what an earlier discovery service reported to the core, as far as it binds. Addresses stay as the
-/// responsible service reported them. Returns the names of the backends that leave.
+/// Passes what an earlier discovery service reported to the core, as far as it binds and is new. Addresses stay as
+/// the responsible service reported them. Returns the names of all backends that it reported as leaving.
 pub fn apply_superseded_endpoints(
     core: &Core,
     names: &NameIndex,
@@ -245,9 +245,15 @@
     is_snapshot: bool,
 ) -> Vec<String> {
     let binding = endpoints.borrow_mut().apply_superseded(update, is_snapshot);
-    if binding.is_empty() {
-        return Vec::new();
+    if !binding.is_empty() {
+        dispatch_superseded(core, names, &binding);
     }
+    let leaving = update.entries().chain(&binding).filter(|endpoint| endpoint.leaves());
+    leaving.map(|endpoint| endpoint.name.clone()).collect()
+}
+
+/// Passes the binding entries of an earlier discovery service to the decision module.
+fn dispatch_superseded(core: &Core, names: &NameIndex, binding: &[Endpoint]) {
     let backends: Vec<&str> = binding.iter().map(|endpoint| endpoint.name.as_str()).collect();
     tracing::info!(
         target: "machine_list",
@@ -256,7 +262,6 @@
     );
     let members = binding.iter().map(|endpoint| endpoint.to_member(names)).collect();
     core.dispatch_event(Event::Members { kind: ListKind::Superseded, members });
-    binding.into_iter().filter(Endpoint::leaves).map(|endpoint| endpoint.name).collect()
 }
 
 impl EndpointsResponse {
@@ -270,10 +275,14 @@
         self.snapshot
     }
 
-    /// Adds entries of backends that the response does not name.
-    pub fn add_unnamed(&mut self, entries: impl Iterator<Item = Endpoint>) {
-        let valid = self.endpoints.iter().map(|endpoint| endpoint.name.clone());
-        let named: BTreeSet<String> = valid.chain(self.invalid.iter().cloned()).collect();
+    /// The valid entries.
+    pub fn entries(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.iter()
+    }
+
+    /// Adds entries of backends for which the response has no valid entry.
+    pub fn add_missing(&mut self, entries: impl Iterator<Item = Endpoint>) {
+        let named: BTreeSet<String> = self.entries().map(|endpoint| endpoint.name.clone()).collect();
         self.endpoints.extend(entries.filter(|entry| !named.contains(&entry.name)));
     }
 
